--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Every target works on a fresh machine: the virtual environment is made first.
+VENV := .venv
+BIN := $(VENV)/bin
+PYTHON ?= python3
+
+.PHONY: demo test measure promises lint format clean
+
+$(VENV)/.installed: requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes -r requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m demo
+
+test: $(VENV)/.installed
+	$(BIN)/python -m pytest
+
+measure: $(VENV)/.installed
+	$(BIN)/python -m measure
+
+promises: $(VENV)/.installed
+	$(BIN)/python -m tests.promises
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,184 @@
+"""Show one request, one change and one gang job on separate processes.
+
+Exits with 1 where any step fails; everything that was started is stopped.
+"""
+
+import argparse
+import asyncio
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import pyjson5
+from ddsketch import DDSketch
+
+from demo.cluster import Cluster, ClusterShape, ProcessError, create_cluster, wait_for
+from larkhoist.codes import Code
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+REQUESTS = 200
+CALLERS = 16
+
+
+@dataclass(slots=True)
+class Figures:
+    """Hold what the run measured; times are in seconds."""
+
+    answered: int = 0
+    other: int = 0
+    latency: DDSketch = field(default_factory=DDSketch)
+    jobs: int = 0
+    in_force_s: float = 0.0
+
+
+def read_cluster(name: str, whole: bool) -> tuple[ClusterShape, dict]:
+    """Return the shape and the intent of an example cluster."""
+    shape = pyjson5.decode((EXAMPLES / name / "cluster.json").read_text())
+    intent = pyjson5.decode((EXAMPLES / name / "intent.json").read_text())
+    halls = tuple(shape.pop("halls"))
+    if not whole:
+        shape |= {"workers": 4, "runners": 2}
+    return ClusterShape(halls=halls, **shape), intent
+
+
+async def show(cluster: Cluster, intent: dict, figures: Figures) -> None:
+    """Go through the steps of the demo."""
+    halls = cluster.shape.halls
+    first = cluster.get_instances(halls[0])[0]
+    await change_configuration(cluster, first, intent, figures)
+    await send_requests(cluster, intent, figures)
+    await run_jobs(cluster, first, intent, figures)
+
+
+async def change_configuration(cluster, first, intent, figures) -> None:
+    """Plan and confirm an intent and wait until it is in force in every hall."""
+    configured = {key: value for key, value in intent.items() if key != "jobs"}
+    planned = await cluster.post(first, "/v1/plans", configured)
+    say(f"plan: code {planned.code}, {len(planned.json()['lines'])} changes")
+    began_s = time.monotonic()
+    path = f"/v1/plans/{planned.json()['plan_id']}/confirm"
+    confirmed = await cluster.post(first, path)
+    say(f"confirm: code {confirmed.code}, revision {confirmed.json()['revision']}")
+
+    async def in_force() -> bool:
+        for hall in cluster.shape.halls:
+            for name in cluster.get_instances(hall):
+                status = (await cluster.get(name, "/v1/status")).json()
+                if status["revision"] < confirmed.json()["revision"]:
+                    return False
+        return True
+
+    await wait_for(in_force, "the revision is in force everywhere")
+    figures.in_force_s = time.monotonic() - began_s
+    halls = ", ".join(cluster.shape.halls)
+    say(f"in force in {halls} after {figures.in_force_s * 1000:.0f} ms")
+
+
+async def send_requests(cluster, intent, figures) -> None:
+    """Send requests to every hall and check each answer."""
+    customers = [customer["name"] for customer in intent["customers"]]
+    names = [cluster.get_instances(hall)[0] for hall in cluster.shape.halls]
+    numbers = iter(range(REQUESTS))
+
+    async def call() -> None:
+        for number in numbers:
+            name = names[number % len(names)]
+            customer = customers[number % len(customers)]
+            await send_request(cluster, name, customer, number, figures)
+
+    await asyncio.gather(*(call() for _ in range(CALLERS)))
+    once = await cluster.send_request(
+        names[0],
+        {"marker": "billed"},
+        Larkhoist_Customer=customers[0],
+        Larkhoist_Repeatable="no",
+        Idempotency_Key="proof-1",
+    )
+    again = await cluster.send_request(
+        names[-1],
+        {"marker": "billed"},
+        Larkhoist_Customer=customers[0],
+        Larkhoist_Repeatable="no",
+        Idempotency_Key="proof-1",
+    )
+    say(f"not repeatable: first code {once.code}, again elsewhere code {again.code}")
+    if (once.code, again.code) != (Code.ANSWERED, Code.CLAIMED_BEFORE):
+        raise ProcessError("a request that is not repeatable was not claimed once")
+
+
+async def send_request(cluster, name, customer, number, figures) -> None:
+    """Send one request and check that the answer is its own."""
+    began_s = time.monotonic()
+    answer = await cluster.send_request(
+        name, {"marker": number, "work_ms": 5}, Larkhoist_Customer=customer
+    )
+    figures.latency.add(time.monotonic() - began_s)
+    if answer.code == Code.ANSWERED and answer.json()["marker"] == number:
+        figures.answered += 1
+    else:
+        figures.other += 1
+
+
+async def run_jobs(cluster, first, intent, figures) -> None:
+    """Submit the gang jobs of the intent and wait for their ends."""
+    for job in intent["jobs"]:
+        submitted = await cluster.post(first, "/v1/jobs", job)
+        say(f"job {job['name']}: code {submitted.code}, {submitted.json()['shape']}")
+    for job in intent["jobs"]:
+        ended = await cluster.wait_job(first, job["name"])
+        code = Code(ended["code"])
+        workers = ", ".join(ended["workers"])
+        say(f"job {job['name']}: code {int(code)} {code.name} in {ended['hall']}")
+        say(f"  members ran on {workers}")
+        if code is not Code.JOB_FINISHED:
+            raise ProcessError(f"job {job['name']} ended with {code.name}")
+        figures.jobs += 1
+
+
+def print_figures(figures: Figures) -> None:
+    """Print what the run measured."""
+    quantiles = [figures.latency.get_quantile_value(q) for q in (0.5, 0.99, 1.0)]
+    text = ", ".join(f"{value * 1000:.1f}" for value in quantiles)
+    say(f"requests: {figures.answered} answered, {figures.other} otherwise")
+    say(f"completion time p50, p99, max: {text} ms (5 ms of work)")
+    say(f"jobs done: {figures.jobs}")
+    say(f"change in force everywhere after {figures.in_force_s * 1000:.0f} ms")
+
+
+def say(text: str) -> None:
+    """Print one line of the demo."""
+    print(text, flush=True)
+
+
+async def run(arguments: argparse.Namespace) -> int:
+    """Run the demo and return the exit code."""
+    shape, intent = read_cluster(arguments.cluster, arguments.whole)
+    cluster = create_cluster(shape)
+    figures = Figures()
+    try:
+        await cluster.start()
+        say(f"started {len(cluster.processes)} processes for {arguments.cluster}")
+        await show(cluster, intent, figures)
+        print_figures(figures)
+    except (ProcessError, KeyError) as error:
+        say(f"failed: {error!r}")
+        return 1
+    finally:
+        await cluster.close()
+    say("stopped everything")
+    return 0 if figures.answered == REQUESTS else 1
+
+
+def main() -> None:
+    """Read the arguments and run the demo."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--cluster", choices=("bangkok", "sicily"), default="bangkok")
+    parser.add_argument(
+        "--whole", action="store_true", help="today's whole size, not a cut of it"
+    )
+    sys.exit(asyncio.run(run(parser.parse_args())))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/demo/cluster.py
@@ -0,0 +1,407 @@
+"""Start a small cluster of separate processes on loopback, and stop it whole.
+
+The demo, the measurements and the tests share this module; it is not shipped.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import aiohttp
+
+__all__ = [
+    "Answer",
+    "Cluster",
+    "ClusterShape",
+    "Process",
+    "ProcessError",
+    "create_cluster",
+    "wait_for",
+]
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+SERVICE = "main"
+
+
+class ProcessError(Exception):
+    """Report that a process did not start or something was not reached in time."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClusterShape:
+    """Hold the size of a cluster; counts are per data hall."""
+
+    halls: tuple[str, ...] = ("hall-a", "hall-b", "hall-c")
+    instances: int = 1
+    workers: int = 4
+    accelerators: int = 8
+    workers_per_rack: int = 8
+    runners: int = 2
+    slots: int = 8
+    connections: int = 64
+    echo: bool = False
+    settings: dict = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Process:
+    """Hold one process of the cluster."""
+
+    name: str
+    handle: asyncio.subprocess.Process
+    command: list[str]
+    ports: list[int] = field(default_factory=list)
+    log: Path | None = None
+    frozen: bool = False
+
+    def kill(self) -> None:
+        """Kill the process at once."""
+        if self.handle.returncode is None:
+            self.handle.send_signal(signal.SIGKILL)
+
+    def freeze(self) -> None:
+        """Stop the process where it is."""
+        self.frozen = True
+        self.handle.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        self.frozen = False
+        self.handle.send_signal(signal.SIGCONT)
+
+
+class Cluster:
+    """Own the processes of one cluster."""
+
+    def __init__(self, shape: ClusterShape):
+        self.shape = shape
+        self.processes: dict[str, Process] = {}
+        self.addresses: dict[str, str] = {}
+        self.listed: list[dict] = []
+        self.session: aiohttp.ClientSession | None = None
+        self._folder = TemporaryDirectory(prefix="larkhoist-")
+        self._settings: dict[str, Path] = {}
+
+    async def start(self) -> None:
+        """Start every process and wait until the instances are ready."""
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(total=60),
+        )
+        platform = await self._start_stand_in("platform", [])
+        self.addresses["platform"] = f"127.0.0.1:{platform.ports[0]}"
+        await asyncio.gather(*(self._start_hall(hall) for hall in self.shape.halls))
+        await self.publish(self.listed)
+        for hall in self.shape.halls:
+            for name in self.get_instances(hall):
+                await self.start_instance(name)
+        await asyncio.gather(*map(self.wait_ready, self._settings))
+
+    async def close(self) -> None:
+        """Stop every process and remove what was written."""
+        for process in self.processes.values():
+            if process.handle.returncode is None:
+                if process.frozen:
+                    process.thaw()
+                process.handle.terminate()
+        waits = [p.handle.wait() for p in self.processes.values()]
+        try:
+            await asyncio.wait_for(asyncio.gather(*waits), STOP_TIMEOUT_S)
+        except TimeoutError:
+            for process in self.processes.values():
+                process.kill()
+            await asyncio.gather(*(p.handle.wait() for p in self.processes.values()))
+        if self.session is not None:
+            await self.session.close()
+        self._folder.cleanup()
+
+    # Names and addresses.
+
+    def get_instances(self, hall: str) -> list[str]:
+        """Return the names of the entry instances of a hall."""
+        return [f"{hall}-entry-{n}" for n in range(self.shape.instances)]
+
+    def get_runners(self, hall: str) -> list[str]:
+        """Return the names of the runners of a hall."""
+        return [f"{hall}-runner-{n}" for n in range(self.shape.runners)]
+
+    def get_workers(self, hall: str) -> list[str]:
+        """Return the names of the workers of a hall."""
+        return [f"{hall}-worker-{n}" for n in range(self.shape.workers)]
+
+    # Processes.
+
+    async def start_instance(self, name: str) -> Process:
+        """Start the daemon of one instance, or start it again."""
+        command = [
+            sys.executable,
+            "-m",
+            "larkhoist.daemon.main",
+            str(self._settings[name]),
+        ]
+        log = Path(self._folder.name) / f"{name}.log"
+        with log.open("ab") as output:
+            handle = await asyncio.create_subprocess_exec(
+                *command, stdout=output, stderr=output
+            )
+        process = Process(name, handle, command, log=log)
+        self.processes[name] = process
+        return process
+
+    async def wait_ready(self, name: str) -> None:
+        """Wait until an instance serves."""
+
+        async def is_ready() -> bool:
+            try:
+                async with self.session.get(self.get_url(name, "/readyz")) as response:
+                    return response.status == 200
+            except aiohttp.ClientError:
+                return False
+
+        try:
+            await wait_for(is_ready, f"{name} is ready")
+        except ProcessError as error:
+            raise ProcessError(f"{error}\n{self.read_log(name)[-4000:]}") from None
+
+    def read_log(self, name: str) -> str:
+        """Return what an instance has logged."""
+        log = self.processes[name].log
+        return log.read_text(errors="replace") if log is not None else ""
+
+    async def _start_stand_in(self, module: str, arguments: list[str]) -> Process:
+        command = [sys.executable, "-m", f"standins.{module}", *arguments]
+        handle = await asyncio.create_subprocess_exec(
+            *command, stdout=asyncio.subprocess.PIPE, cwd=_get_root()
+        )
+        line = await asyncio.wait_for(handle.stdout.readline(), START_TIMEOUT_S)
+        words = line.decode().split()
+        if not words or words[0] != "ready":
+            raise ProcessError(f"{module} did not start")
+        ports = [int(word) for word in words[1:]]
+        name = module if module == "platform" else f"{module}-{len(self.processes)}"
+        process = Process(name, handle, command, ports)
+        self.processes[name] = process
+        return process
+
+    async def _start_hall(self, hall: str) -> None:
+        workers = self.get_workers(hall)
+        if workers:
+            await self._start_workers(hall, workers)
+        runners = self.get_runners(hall)
+        if runners:
+            await self._start_runners(hall, runners)
+        for name in self.get_instances(hall):
+            http_port, peer_port = find_free_ports(2)
+            self.addresses[name] = f"127.0.0.1:{http_port}"
+            self._write_settings(name, hall, http_port, peer_port)
+            self.listed.append(
+                {
+                    "kind": "entry",
+                    "name": name,
+                    "hall": hall,
+                    "address": self.addresses[name],
+                    "peer_address": f"127.0.0.1:{peer_port}",
+                }
+            )
+
+    async def _start_workers(self, hall: str, workers: list[str]) -> None:
+        shape = self.shape
+        process = await self._start_stand_in(
+            "worker",
+            ["--names", ",".join(workers), "--accelerators", str(shape.accelerators)],
+        )
+        self.addresses[f"{hall}-workers"] = f"127.0.0.1:{process.ports[0]}"
+        for index, name in enumerate(workers):
+            self.addresses[name] = f"127.0.0.1:{process.ports[0]}"
+            self.listed.append(
+                {
+                    "kind": "worker",
+                    "name": name,
+                    "hall": hall,
+                    "address": self.addresses[name],
+                    "rack": f"{hall}-rack-{index // shape.workers_per_rack}",
+                    "accelerators": shape.accelerators,
+                }
+            )
+
+    async def _start_runners(self, hall: str, runners: list[str]) -> None:
+        shape = self.shape
+        arguments = ["--names", ",".join(runners), "--slots", str(shape.slots)]
+        arguments += ["--connections", str(shape.connections)]
+        arguments += ["--echo"] if shape.echo else []
+        process = await self._start_stand_in("upstream", arguments)
+        for index, (name, port) in enumerate(zip(runners, process.ports, strict=True)):
+            self.addresses[name] = f"127.0.0.1:{port}"
+            self.listed.append(
+                {
+                    "kind": "upstream",
+                    "name": name,
+                    "hall": hall,
+                    "address": self.addresses[name],
+                    "service": SERVICE,
+                    "slots": shape.slots,
+                    "connections": shape.connections,
+                    "worker": f"{hall}-worker-{index}",
+                }
+            )
+
+    def _write_settings(self, name, hall, http_port, peer_port) -> None:
+        settings = {
+            "instance": name,
+            "hall": hall,
+            "platform_url": f"http://{self.addresses['platform']}",
+            "listen": {"http_port": http_port, "peer_port": peer_port},
+            **self.shape.settings,
+        }
+        path = Path(self._folder.name) / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        self._settings[name] = path
+
+    # Calls.
+
+    def get_url(self, name: str, path: str) -> str:
+        """Return the URL of a path at a process."""
+        return f"http://{self.addresses[name]}{path}"
+
+    async def post(self, name: str, path: str, data=None, headers=None) -> "Answer":
+        """Post JSON to a process."""
+        async with self.session.post(
+            self.get_url(name, path), json=data, headers=headers
+        ) as response:
+            return Answer(response.status, await response.read(), response.headers)
+
+    async def get(self, name: str, path: str) -> "Answer":
+        """Get a path of a process."""
+        async with self.session.get(self.get_url(name, path)) as response:
+            return Answer(response.status, await response.read(), response.headers)
+
+    async def publish(self, instances: list[dict]) -> None:
+        """Put instances on the platform's list."""
+        await self.post("platform", "/instances", instances)
+
+    async def mark_leaving(self, name: str, leaving: bool = True) -> None:
+        """Mark an instance on the platform's list as leaving."""
+        instance = next(item for item in self.listed if item["name"] == name)
+        await self.publish([instance | {"leaving": leaving}])
+
+    async def set_platform_faults(self, **faults) -> None:
+        """Set faults of the stand-in platform."""
+        await self.post("platform", "/faults", faults)
+
+    async def set_worker_faults(self, name: str, **faults) -> None:
+        """Set faults of one stand-in worker."""
+        await self.post(name, f"/workers/{name}/faults", faults)
+
+    async def set_runner_faults(self, name: str, **faults) -> None:
+        """Set faults of one stand-in runner."""
+        await self.post(name, "/faults", faults)
+
+    async def confirm_intent(self, name: str, intent: dict) -> dict:
+        """Plan and confirm an intent at an instance."""
+        planned = (await self.post(name, "/v1/plans", intent)).json()
+        path = f"/v1/plans/{planned['plan_id']}/confirm"
+        return (await self.post(name, path)).json()
+
+    async def send_request(self, name: str, body: dict, **headers) -> "Answer":
+        """Send a caller's request to an instance."""
+        named = {key.replace("_", "-"): value for key, value in headers.items()}
+        return await self.post(name, f"/v1/services/{SERVICE}/run", body, named)
+
+    async def read_executions(self, halls=None) -> list[dict]:
+        """Return the executions of all runners."""
+        found: list[dict] = []
+        for hall in halls or self.shape.halls:
+            for runner in self.get_runners(hall):
+                found += (await self.get(runner, "/journal")).json()
+        return found
+
+    async def read_journal(self, hall: str) -> list[dict]:
+        """Return the task journal of a hall's workers."""
+        return (await self.get(f"{hall}-workers", "/journal")).json()
+
+    async def wait_job(self, name: str, job: str, state: str = "ended") -> dict:
+        """Wait until a job is in a state and return it."""
+        shown: dict = {}
+
+        async def is_there() -> bool:
+            nonlocal shown
+            shown = (await self.get(name, f"/v1/jobs/{job}")).json()
+            return shown.get("state") == state
+
+        await wait_for(is_there, f"{job} is {state}", timeout_s=90.0)
+        return shown
+
+    async def find_owner(self, hall: str, timeout_s: float = 30.0) -> str:
+        """Wait until a hall has an owner and return its name."""
+        owner = ""
+
+        async def has_owner() -> bool:
+            nonlocal owner
+            for name in self.get_instances(hall):
+                process = self.processes[name]
+                if process.handle.returncode is None and not process.frozen:
+                    status = (await self.get(name, "/v1/status")).json()
+                    shown = [h for h in status["halls"] if h["hall"] == hall]
+                    owner = shown[0]["owner"] if shown else ""
+                    return bool(owner)
+            return False
+
+        await wait_for(has_owner, f"{hall} has an owner", timeout_s)
+        return owner
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Hold one answer."""
+
+    status: int
+    body: bytes
+    headers: dict
+
+    def json(self):
+        """Return the body as decoded JSON."""
+        return json.loads(self.body)
+
+    @property
+    def code(self) -> int:
+        """Return the result code of the answer."""
+        return int(self.headers.get("Larkhoist-Code", "0"))
+
+
+async def wait_for(is_true, what: str, timeout_s: float = START_TIMEOUT_S) -> float:
+    """Wait until a coroutine function returns true; return the seconds it took."""
+    began_s = time.monotonic()
+    while not await is_true():
+        if time.monotonic() - began_s > timeout_s:
+            raise ProcessError(f"not in {timeout_s} s: {what}")
+        await asyncio.sleep(0.05)
+    return time.monotonic() - began_s
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+def create_cluster(shape: ClusterShape) -> Cluster:
+    """Return a cluster; start it before use and close it in any case."""
+    return Cluster(shape)
+
+
+def _get_root() -> str:
+    return os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
--- /dev/null
+++ b/src/larkhoist/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Meet the ports over HTTP."""
--- /dev/null
+++ b/src/larkhoist/border/__init__.py
@@ -0,0 +1,1 @@
+"""Check what comes in from outside with validated models."""
--- /dev/null
+++ b/src/larkhoist/client/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to the system as an operator."""
--- /dev/null
+++ b/src/larkhoist/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Run the decisions as one process on every entry instance."""
--- /dev/null
+++ b/src/larkhoist/daemon/hall_owner.py
@@ -0,0 +1,316 @@
+"""Own a data hall while this instance is the one to do so, and run its jobs."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+import aiohttp
+
+from larkhoist.adapters.worker import create_worker
+from larkhoist.daemon.log_writer import LogWriter
+from larkhoist.daemon.logs import log_event
+from larkhoist.daemon.state_keeper import StateKeeper
+from larkhoist.daemon.worker_link import CommandAnswer, LeaseAnswer, WorkerLinkTask
+from larkhoist.log.plan import make_hall_indexes
+from larkhoist.log.records import JobClaimed
+from larkhoist.log.state import JobEntry, JobState
+from larkhoist.ownership.order import order_instances
+from larkhoist.ownership.tenure import LeaseTerms, Tenure
+from larkhoist.placement.fragmentation import EXPECTED_MIX, get_fragmentation
+from larkhoist.ports.platform import Instance, InstanceList
+from larkhoist.scheduling.effect import Append, Effect, Send
+from larkhoist.scheduling.hall import HallScheduler, create_hall_scheduler
+from larkhoist.scheduling.policy import SchedulingPolicy
+
+__all__ = ["HallOwner"]
+
+_logger = logging.getLogger(__name__)
+CLAIM_STEP_S = 2.0
+LEAST_SLOTS_FOR_REQUESTS = 2
+
+
+class HallOwner:
+    """Try for the hall when told to, and drive its scheduler while it is owned."""
+
+    def __init__(
+        self,
+        instance: str,
+        hall: str,
+        terms: LeaseTerms,
+        policy: SchedulingPolicy,
+        keeper: StateKeeper,
+        writer: LogWriter,
+        interval_s: float,
+        is_candidate: Callable[[], bool],
+    ):
+        self._instance = instance
+        self._hall = hall
+        self._policy = policy
+        self._keeper = keeper
+        self._writer = writer
+        self._interval_s = interval_s
+        self._is_candidate = is_candidate
+        self.tenure = Tenure(instance, terms)
+        self.scheduler: HallScheduler | None = None
+        self._session: aiohttp.ClientSession | None = None
+        self._links: dict[str, WorkerLinkTask] = {}
+        self._workers: dict[str, Instance] = {}
+        self._upstreams: dict[str, Instance] = {}
+        self._halls: list[str] = []
+        self._totals = make_hall_indexes(())
+        self._inbox: list[LeaseAnswer | CommandAnswer] = []
+        self._first_seen: dict[str, float] = {}
+        self._claimed: set[str] = set()
+        self._recovered = False
+        self._trying_since_s: float | None = None
+        self._next_try_s = 0.0
+        self._synced_offset: int | None = None
+        self._waits_to_claim = False
+        self._task: asyncio.Task | None = None
+        self._random = random.Random()
+
+    async def start(self) -> None:
+        """Begin to watch whether the hall needs an owner."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, limit_per_host=0)
+        )
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Give the hall up and close every connection."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self._close_links()
+        if self._session is not None:
+            await self._session.close()
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of the owned hall, or 0 where it is not owned."""
+        return self.tenure.epoch if self.scheduler is not None else 0
+
+    def count_leases(self) -> int:
+        """Return how many workers this instance holds the lease of."""
+        now_s = asyncio.get_running_loop().time()
+        return sum(self.tenure.holds(name, now_s) for name in self._workers)
+
+    def count_jobs(self) -> int:
+        """Return how many jobs of the hall wait or run."""
+        return len(self.scheduler.jobs) if self.scheduler is not None else 0
+
+    def get_fragmentation(self) -> float:
+        """Return the fragmentation of the hall, 0 where it is not owned."""
+        if self.scheduler is None:
+            return 0.0
+        return get_fragmentation(self.scheduler.accelerators.free, EXPECTED_MIX)
+
+    def take_list(self, listed: InstanceList) -> None:
+        """Take over the workers and upstreams of the hall."""
+        near = [i for i in listed.instances if i.hall == self._hall]
+        self._workers = {
+            i.name: i for i in near if i.kind == "worker" and i.accelerators
+        }
+        self._upstreams = {i.name: i for i in near if i.kind == "upstream"}
+        self._totals = make_hall_indexes(listed.instances)
+        self._halls = sorted(self._totals)
+        self.tenure.set_workers(set(self._workers))
+
+    def get_ceilings(self) -> dict[str, int]:
+        """Return the slots that requests may use at upstreams of the hall."""
+        if self.scheduler is None:
+            return {}
+        ceilings = {}
+        for upstream in self._upstreams.values():
+            worker = self.scheduler.accelerators.workers.get(upstream.worker)
+            if worker is not None:
+                left = upstream.slots - (worker.busy | worker.held).bit_count()
+                ceilings[upstream.name] = max(LEAST_SLOTS_FOR_REQUESTS, left)
+        return ceilings
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(self._interval_s)
+            try:
+                await self._tick(asyncio.get_running_loop().time())
+            except Exception:
+                _logger.exception("hall-owner-failed")
+
+    async def _tick(self, now_s: float) -> None:
+        self._take_answers(now_s)
+        self.tenure.update(now_s)
+        if self._trying_since_s is None:
+            if now_s >= self._next_try_s and self._workers and self._is_candidate():
+                await self._begin_trying(now_s)
+            return
+        await self._match_links()
+        if self.scheduler is None and self.tenure.has_majority:
+            self._gain()
+        elif self.scheduler is not None and not self.tenure.has_majority:
+            await self._give_up(now_s, "majority-lost")
+            return
+        elif self.scheduler is None and self._must_yield(now_s):
+            await self._give_up(now_s, "no-majority")
+            return
+        if self.scheduler is not None:
+            self._schedule(now_s)
+
+    # Tenure.
+
+    async def _begin_trying(self, now_s: float) -> None:
+        self.tenure.begin()
+        self._trying_since_s = now_s
+        log_event(_logger, "tenure-tried", hall=self._hall, epoch=self.tenure.epoch)
+        await self._match_links()
+
+    def _must_yield(self, now_s: float) -> bool:
+        # A worker's lease may take its whole term to lapse, and a refusal may
+        # show an epoch that is not below ours.
+        terms = self.tenure.terms
+        late = now_s - self._trying_since_s > terms.term_s * 2 + terms.renew_s
+        return late or self.tenure.seen_epoch > self.tenure.epoch
+
+    async def _give_up(self, now_s: float, reason: str) -> None:
+        log_event(_logger, "tenure-ended", epoch=self.tenure.epoch, reason=reason)
+        self.scheduler = None
+        self._trying_since_s = None
+        pause_s = self.tenure.terms.renew_s * (0.5 + self._random.random())
+        self._next_try_s = now_s + pause_s
+        await self._close_links()
+        self._inbox.clear()
+
+    def _gain(self) -> None:
+        log_event(_logger, "tenure-gained", hall=self._hall, epoch=self.tenure.epoch)
+        self.scheduler = create_hall_scheduler(self._hall, self._policy)
+        self._recovered = False
+        self._synced_offset = None
+        self._claimed.clear()
+
+    async def _match_links(self) -> None:
+        for name in self._links.keys() - self._workers.keys():
+            await self._links.pop(name).close()
+        for name in self._workers.keys() - self._links.keys():
+            worker = create_worker(self._session, self._workers[name].address, name)
+            link = WorkerLinkTask(name, worker, self.tenure, self._inbox.append)
+            self._links[name] = link
+            await link.start()
+
+    async def _close_links(self) -> None:
+        links = list(self._links.values())
+        self._links.clear()
+        await asyncio.gather(*(link.close() for link in links))
+
+    # Scheduling.
+
+    def _schedule(self, now_s: float) -> None:
+        scheduler = self.scheduler
+        self._match_workers(now_s)
+        changed = self._synced_offset != self._keeper.state.next_offset
+        if changed or self._waits_to_claim:
+            self._sync_jobs(now_s)
+        if not self._recovered and self.tenure.is_settled(now_s):
+            self._recovered = True
+            self._carry_out(scheduler.recover(now_s), now_s)
+            log_event(_logger, "hall-recovered", jobs=len(scheduler.jobs))
+        self._carry_out(scheduler.decide(now_s), now_s)
+
+    def _match_workers(self, now_s: float) -> None:
+        scheduler = self.scheduler
+        known = scheduler.accelerators.workers
+        for name in known.keys() - self._workers.keys():
+            if self.tenure.is_surely_idle(name, now_s) or name not in self._links:
+                scheduler.remove_worker(name)
+        for name, worker in self._workers.items():
+            if name not in known:
+                scheduler.add_worker(name, worker.rack, worker.accelerators)
+            held = self.tenure.holds(name, now_s)
+            scheduler.set_usable(name, held and not worker.leaving)
+            if not held and self.tenure.is_surely_idle(name, now_s):
+                scheduler.note_idle(name)
+
+    def _sync_jobs(self, now_s: float) -> None:
+        state = self._keeper.state
+        scheduler = self.scheduler
+        first = self._synced_offset is None
+        self._synced_offset = state.next_offset
+        self._waits_to_claim = False
+        scheduler.set_customers(state.customers)
+        for job_id, entry in state.jobs.items():
+            if entry.state is JobState.ENDED:
+                if job_id in scheduler.jobs:
+                    self._carry_out(scheduler.note_ended(job_id), now_s)
+            elif entry.state is JobState.PENDING:
+                self._consider_claim(job_id, entry, now_s)
+            elif entry.hall == self._hall:
+                self._sync_job(job_id, entry, first, now_s)
+
+    def _sync_job(self, job_id, entry: JobEntry, first: bool, now_s: float) -> None:
+        scheduler = self.scheduler
+        if job_id not in scheduler.jobs:
+            age_s = max(0, self._keeper.state.log_ms - entry.submitted_ms) / 1000
+            scheduler.add_job(entry.spec, entry.attempt, now_s - age_s, first)
+            self._claimed.discard(job_id)
+        if entry.state is JobState.PLACED:
+            scheduler.note_placed(job_id, entry.attempt)
+        if entry.cancelled:
+            self._carry_out(scheduler.cancel_job(job_id, now_s), now_s)
+
+    def _consider_claim(self, job_id: str, entry: JobEntry, now_s: float) -> None:
+        spec = entry.spec
+        if job_id in self._claimed or spec.hall not in ("", self._hall):
+            return
+        total = self._totals.get(self._hall)
+        shape = (spec.members, spec.accelerators, spec.adjacency)
+        if total is None or total.find(*shape) is None:
+            return
+        seen_s = self._first_seen.setdefault(job_id, now_s)
+        rank = order_instances(job_id, self._halls).index(self._hall)
+        if not spec.hall and now_s < seen_s + rank * CLAIM_STEP_S:
+            self._waits_to_claim = True
+            return
+        self._first_seen.pop(job_id, None)
+        self._claimed.add(job_id)
+        self._writer.add(JobClaimed(job_id, self._hall))
+
+    def _carry_out(self, effects: list[Effect], now_s: float) -> None:
+        for effect in effects:
+            match effect:
+                case Send(worker, command):
+                    link = self._links.get(worker)
+                    if link is not None:
+                        link.send(command)
+                case Append(record):
+                    fields = {"kind": type(record).__name__, "job": record.job_id}
+                    log_event(_logger, "job", **fields)
+                    self._writer.add(record)
+
+    def _take_answers(self, now_s: float) -> None:
+        answers, self._inbox[:] = list(self._inbox), []
+        for answer in answers:
+            if answer.epoch != self.tenure.epoch:
+                continue
+            match answer:
+                case LeaseAnswer(worker, _, sent_s, reply):
+                    self._take_lease(worker, sent_s, reply, now_s)
+                case CommandAnswer():
+                    self._take_commands(answer)
+
+    def _take_lease(self, worker, sent_s, reply, now_s) -> None:
+        if reply is None:
+            self.tenure.note_silence(worker)
+            return
+        self.tenure.note_reply(worker, sent_s, reply)
+        if reply.granted and self.scheduler is not None:
+            effects = self.scheduler.note_report(worker, reply.tasks, now_s)
+            self._carry_out(effects, now_s)
+
+    def _take_commands(self, answer: CommandAnswer) -> None:
+        if self.scheduler is None:
+            return
+        reply = answer.reply
+        for index, command in enumerate(answer.commands):
+            done = None
+            if reply is not None:
+                done = not reply.fenced and reply.done[index]
+            self.scheduler.note_command(command, done)
--- /dev/null
+++ b/src/larkhoist/daemon/log_follower.py
@@ -0,0 +1,140 @@
+"""Follow the platform's log, or the peers while the platform is out of reach."""
+
+import asyncio
+import logging
+
+from returns.result import Success
+
+from larkhoist.daemon.logs import log_event
+from larkhoist.daemon.peer_link import PeerLink
+from larkhoist.daemon.state_keeper import StateKeeper
+from larkhoist.log.snapshot import SnapshotAssembler, decode_part
+from larkhoist.ports.platform import (
+    MAIN_STREAM,
+    SNAPSHOT_STREAM,
+    LogPage,
+    PlatformPort,
+)
+
+__all__ = ["LogFollower"]
+
+_logger = logging.getLogger(__name__)
+RETRY_S = 0.2
+
+
+class LogFollower:
+    """Read the log into the keeper as one task."""
+
+    def __init__(
+        self,
+        platform: PlatformPort,
+        keeper: StateKeeper,
+        peers: PeerLink,
+        wait_s: float,
+    ):
+        self._platform = platform
+        self._keeper = keeper
+        self._peers = peers
+        self._wait_s = wait_s
+        self._task: asyncio.Task | None = None
+        self.reached_end = False
+        self.platform_up = False
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop following."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        await self._load_snapshot()
+        while True:
+            try:
+                await self._follow_once()
+            except Exception:
+                _logger.exception("follow-failed")
+                await asyncio.sleep(RETRY_S)
+
+    async def _follow_once(self) -> None:
+        next_offset = self._keeper.state.next_offset
+        wait_s = self._wait_s if self.reached_end else 0.0
+        result = await self._platform.read(MAIN_STREAM, next_offset, wait_s)
+        match result:
+            case Success(page):
+                self._set_up(True)
+                await self._take_page(page)
+            case _:
+                self._set_up(False)
+                await self._catch_up_from_peers()
+                await asyncio.sleep(RETRY_S)
+
+    async def _take_page(self, page: LogPage) -> None:
+        state = self._keeper.state
+        if page.oldest > state.next_offset:
+            await self._bridge_gap(page)
+            return
+        if page.end < state.next_offset:
+            # A peer may have folded more than this page held when it was made;
+            # a log that stays shorter has lost records, and nothing is undone.
+            log_event(
+                _logger,
+                "log-shorter-than-state",
+                logging.ERROR,
+                end=page.end,
+                next_offset=state.next_offset,
+            )
+            await asyncio.sleep(RETRY_S)
+            return
+        self._keeper.fold(page.entries)
+        self.reached_end |= self._keeper.state.next_offset >= page.end
+
+    async def _bridge_gap(self, page: LogPage) -> None:
+        log_event(
+            _logger,
+            "log-trimmed-past-state",
+            logging.WARNING,
+            oldest=page.oldest,
+            next_offset=self._keeper.state.next_offset,
+        )
+        await self._load_snapshot()
+        if self._keeper.state.next_offset < page.oldest:
+            await self._catch_up_from_peers()
+        if self._keeper.state.next_offset < page.oldest:
+            self.reached_end = False
+            await asyncio.sleep(RETRY_S)
+
+    async def _load_snapshot(self) -> None:
+        assembler = SnapshotAssembler()
+        offset = 0
+        while True:
+            result = await self._platform.read(SNAPSHOT_STREAM, offset, 0.0)
+            match result:
+                case Success(page):
+                    for entry in page.entries:
+                        assembler.add(decode_part(entry.data))
+                        offset = entry.offset + 1
+                    if not page.entries:
+                        break
+                case _:
+                    self._set_up(False)
+                    return
+        newest = assembler.newest
+        if newest is not None and self._keeper.adopt(newest):
+            log_event(_logger, "snapshot-loaded", next_offset=newest.next_offset)
+
+    async def _catch_up_from_peers(self) -> None:
+        reply = await self._peers.fetch_tail(self._keeper.state.next_offset)
+        if reply is None:
+            return
+        if reply.state:
+            self._keeper.adopt_bytes(reply.state)
+        self._keeper.fold(reply.entries)
+
+    def _set_up(self, up: bool) -> None:
+        if up != self.platform_up:
+            log_event(_logger, "platform-up" if up else "platform-down")
+        self.platform_up = up
--- /dev/null
+++ b/src/larkhoist/daemon/metrics.py
@@ -0,0 +1,72 @@
+"""Count what the instance does, for Prometheus."""
+
+import resource
+
+from aioprometheus import Counter, Gauge, Registry, Summary
+from aioprometheus.renderer import render
+
+__all__ = ["Metrics", "create_metrics"]
+
+
+class Metrics:
+    """Hold the metrics of one instance; each has a method that says its meaning."""
+
+    def __init__(self):
+        self.registry = Registry()
+        self._requests = self._add(
+            Counter, "larkhoist_requests_total", "Requests ended, by result code"
+        )
+        self._latency = self._add(
+            Summary, "larkhoist_request_seconds", "Seconds from request to answer"
+        )
+        self._gauges: dict[str, Gauge] = {}
+        for name, text in (
+            ("queue", "Requests that wait for a slot"),
+            ("in_flight", "Requests sent and not yet answered"),
+            ("upstreams", "Upstreams on the list"),
+            ("upstreams_ejected", "Upstreams ejected for failures"),
+            ("leases", "Workers whose lease this instance holds"),
+            ("owner_epoch", "Epoch of the owned hall, 0 where it is not owned"),
+            ("log_offset", "Next offset to fold"),
+            ("log_waiting", "Records that wait to be appended"),
+            ("platform_up", "1 where the last call to the platform succeeded"),
+            ("revision", "Configuration revision in force here"),
+            ("ready", "1 where the instance serves"),
+            ("jobs", "Jobs of the hall that wait or run"),
+            ("fragmentation", "Share of free accelerators the mix cannot use"),
+            ("peers", "Peers heard of lately"),
+            ("control_cpu_seconds", "Processor seconds used by this process"),
+            ("control_peak_bytes", "Largest resident memory of this process"),
+        ):
+            self._gauges[name] = self._add(Gauge, f"larkhoist_{name}", text)
+        self._appends = self._add(
+            Counter, "larkhoist_appends_total", "Appends to the log, by result"
+        )
+
+    def count_request(self, code: int, seconds: float) -> None:
+        """Count one request that ended."""
+        self._requests.inc({"code": str(code)})
+        self._latency.observe({}, seconds)
+
+    def count_append(self, result: str) -> None:
+        """Count one append."""
+        self._appends.inc({"result": result})
+
+    def set(self, name: str, value: float) -> None:
+        """Set a gauge by its name without the prefix."""
+        self._gauges[name].set({}, value)
+
+    def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
+        """Return the body and the headers of the metrics page."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        self.set("control_cpu_seconds", usage.ru_utime + usage.ru_stime)
+        self.set("control_peak_bytes", usage.ru_maxrss * 1024)
+        return render(self.registry, [accept])
+
+    def _add(self, kind, name, text):
+        return kind(name, text, registry=self.registry)
+
+
+def create_metrics() -> Metrics:
+    """Return metrics in a registry of their own."""
+    return Metrics()
--- /dev/null
+++ b/src/larkhoist/daemon/peer_link.py
@@ -0,0 +1,186 @@
+"""Exchange gossip and log entries with the other instances over pynng."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+import msgspec
+import pynng
+
+from larkhoist.daemon.list_poller import ListPoller
+from larkhoist.daemon.logs import log_event
+from larkhoist.daemon.state_keeper import StateKeeper
+from larkhoist.membership.peers import (
+    Gossip,
+    ListReply,
+    ListRequest,
+    PeerMessage,
+    PeerTable,
+    TailReply,
+    TailRequest,
+    decode_message,
+    encode_message,
+)
+
+__all__ = ["PeerLink"]
+
+_logger = logging.getLogger(__name__)
+ANSWER_TIMEOUT_S = 0.5
+SERVERS = 4
+TAIL_LIMIT = 500
+RECEIVE_MAX_BYTES = 256 * 1024 * 1024
+REMOTE_PEERS_PER_ROUND = 2
+
+
+class PeerLink:
+    """Own the sockets to and from the peers.
+
+    Each round goes to every peer of the hall and to a few of the other halls, so
+    that the cost of an instance does not grow with the number of halls.
+    """
+
+    def __init__(
+        self,
+        listen_url: str,
+        hall: str,
+        table: PeerTable,
+        keeper: StateKeeper,
+        lists: ListPoller,
+        make_gossip: Callable[[], Gossip],
+        interval_s: float,
+    ):
+        self._listen_url = listen_url
+        self._hall = hall
+        self._table = table
+        self._keeper = keeper
+        self._lists = lists
+        self._make_gossip = make_gossip
+        self._interval_s = interval_s
+        self._server: pynng.Rep0 | None = None
+        self._sockets: dict[str, pynng.Req0] = {}
+        self._halls: dict[str, str] = {}
+        self._busy: set[str] = set()
+        self._tasks: list[asyncio.Task] = []
+        self._calls: set[asyncio.Task] = set()
+        self._random = random.Random()
+
+    async def start(self) -> None:
+        """Listen and begin the rounds."""
+        self._server = pynng.Rep0(recv_max_size=RECEIVE_MAX_BYTES)
+        self._server.listen(self._listen_url)
+        self._tasks = [asyncio.create_task(self._serve()) for _ in range(SERVERS)]
+        self._tasks.append(asyncio.create_task(self._run_rounds()))
+
+    async def close(self) -> None:
+        """Stop the rounds and close every socket."""
+        for task in (*self._tasks, *self._calls):
+            task.cancel()
+        await asyncio.gather(*self._tasks, *self._calls, return_exceptions=True)
+        for socket in self._sockets.values():
+            socket.close()
+        if self._server is not None:
+            self._server.close()
+
+    def set_peers(self, peers: dict[str, str]) -> None:
+        """Take over the peers: hall by address, an IP number with a port."""
+        for address in self._sockets.keys() - peers.keys():
+            self._sockets.pop(address).close()
+        for address in peers.keys() - self._sockets.keys():
+            socket = pynng.Req0(recv_max_size=RECEIVE_MAX_BYTES, resend_time=-1)
+            socket.dial(f"tcp://{address}", block=False)
+            self._sockets[address] = socket
+        self._halls = dict(peers)
+
+    async def fetch_tail(self, from_offset: int) -> TailReply | None:
+        """Return what a peer with a newer state has, or None."""
+        for address in list(self._sockets):
+            answer = await self._ask(address, TailRequest(from_offset))
+            match answer:
+                case TailReply(entries, state) if entries or state:
+                    return answer
+        return None
+
+    async def _run_rounds(self) -> None:
+        while True:
+            for address in self._choose_addresses():
+                if address not in self._busy:
+                    call = asyncio.create_task(self._gossip_with(address))
+                    self._calls.add(call)
+                    call.add_done_callback(self._calls.discard)
+            await asyncio.sleep(self._interval_s)
+
+    def _choose_addresses(self) -> list[str]:
+        near = [a for a, hall in self._halls.items() if hall == self._hall]
+        far = [a for a, hall in self._halls.items() if hall != self._hall]
+        count = min(len(far), REMOTE_PEERS_PER_ROUND)
+        return near + self._random.sample(far, count)
+
+    async def _gossip_with(self, address: str) -> None:
+        self._busy.add(address)
+        try:
+            answer = await self._ask(address, self._make_gossip())
+            if isinstance(answer, Gossip):
+                self._take_gossip(answer)
+                await self._fetch_list(address, answer.list_version)
+        finally:
+            self._busy.discard(address)
+
+    async def _fetch_list(self, address: str, version: int) -> None:
+        if version <= self._lists.listed.version:
+            return
+        match await self._ask(address, ListRequest()):
+            case ListReply(listed):
+                self._lists.take(listed)
+
+    async def _ask(self, address: str, message: PeerMessage) -> PeerMessage | None:
+        socket = self._sockets.get(address)
+        if socket is None:
+            return None
+        try:
+            with socket.new_context() as context:
+                exchange = self._exchange(context, encode_message(message))
+                return await asyncio.wait_for(exchange, ANSWER_TIMEOUT_S)
+        except (pynng.NNGException, TimeoutError, msgspec.DecodeError):
+            return None
+
+    async def _exchange(self, context: pynng.Context, data: bytes) -> PeerMessage:
+        await context.asend(data)
+        return decode_message(await context.arecv())
+
+    async def _serve(self) -> None:
+        with self._server.new_context() as context:
+            while True:
+                try:
+                    data = await context.arecv()
+                    await context.asend(self._answer(data))
+                except pynng.NNGException as error:
+                    log_event(_logger, "peer-link-error", error=repr(error))
+                    await asyncio.sleep(self._interval_s)
+
+    def _answer(self, data: bytes) -> bytes:
+        try:
+            message = decode_message(data)
+        except msgspec.DecodeError:
+            return encode_message(TailReply(()))
+        match message:
+            case Gossip():
+                self._take_gossip(message)
+                return encode_message(self._make_gossip())
+            case TailRequest(from_offset):
+                return encode_message(self._make_tail(from_offset))
+            case ListRequest():
+                return encode_message(ListReply(self._lists.listed))
+            case _:
+                return encode_message(TailReply(()))
+
+    def _make_tail(self, from_offset: int) -> TailReply:
+        if from_offset >= self._keeper.state.next_offset:
+            return TailReply(())
+        entries = self._keeper.get_tail(from_offset, TAIL_LIMIT)
+        if entries is None:
+            return TailReply((), self._keeper.encode_state())
+        return TailReply(entries)
+
+    def _take_gossip(self, gossip: Gossip) -> None:
+        self._table.note(gossip, asyncio.get_running_loop().time())
--- /dev/null
+++ b/src/larkhoist/daemon/worker_link.py
@@ -0,0 +1,112 @@
+"""Own the conversation with one worker: leases and commands, in order."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from returns.result import Success
+
+from larkhoist.ownership.tenure import Tenure
+from larkhoist.ports.worker import (
+    CommandReply,
+    CommandRequest,
+    LeaseReply,
+    LeaseRequest,
+    TaskCommand,
+    WorkerPort,
+)
+
+__all__ = ["CommandAnswer", "LeaseAnswer", "WorkerLinkTask"]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseAnswer:
+    """Hold a worker's answer to a lease request; None where none came."""
+
+    worker: str
+    epoch: int
+    sent_s: float
+    reply: LeaseReply | None
+
+
+@dataclass(frozen=True, slots=True)
+class CommandAnswer:
+    """Hold a worker's answer to commands; None where none came."""
+
+    worker: str
+    epoch: int
+    commands: tuple[TaskCommand, ...]
+    reply: CommandReply | None
+
+
+class WorkerLinkTask:
+    """Talk to one worker as one task, so that reports and commands keep order."""
+
+    def __init__(
+        self,
+        name: str,
+        worker: WorkerPort,
+        tenure: Tenure,
+        post: Callable[[LeaseAnswer | CommandAnswer], None],
+    ):
+        self._name = name
+        self._worker = worker
+        self._tenure = tenure
+        self._post = post
+        self._inbox: asyncio.Queue[TaskCommand] = asyncio.Queue()
+        self._task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Begin to renew the lease and to pass on commands."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop renewing; the lease runs out by itself."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def send(self, command: TaskCommand) -> None:
+        """Queue a command."""
+        self._inbox.put_nowait(command)
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        renew_s = self._tenure.terms.renew_s
+        next_s = loop.time()
+        while True:
+            wait_s = next_s - loop.time()
+            if wait_s > 0:
+                try:
+                    first = await asyncio.wait_for(self._inbox.get(), wait_s)
+                    await self._send_commands(first)
+                    continue
+                except TimeoutError:
+                    pass
+            next_s = loop.time() + renew_s
+            await self._renew()
+
+    async def _renew(self) -> None:
+        tenure = self._tenure
+        sent_s = asyncio.get_running_loop().time()
+        task_term_s = tenure.get_task_term(self._name, sent_s)
+        epoch = tenure.epoch
+        request = LeaseRequest(tenure.instance, epoch, tenure.terms.term_s, task_term_s)
+        tenure.note_sent(self._name, sent_s, task_term_s)
+        match await self._worker.lease(request):
+            case Success(reply):
+                self._post(LeaseAnswer(self._name, epoch, sent_s, reply))
+            case _:
+                self._post(LeaseAnswer(self._name, epoch, sent_s, None))
+
+    async def _send_commands(self, first: TaskCommand) -> None:
+        commands = [first]
+        while not self._inbox.empty():
+            commands.append(self._inbox.get_nowait())
+        tenure = self._tenure
+        epoch = tenure.epoch
+        reply = None
+        if tenure.holds(self._name, asyncio.get_running_loop().time()):
+            request = CommandRequest(tenure.instance, epoch, tuple(commands))
+            reply = (await self._worker.command(request)).value_or(None)
+        self._post(CommandAnswer(self._name, epoch, tuple(commands), reply))
--- /dev/null
+++ b/src/larkhoist/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Know which instances, workers and upstreams are there."""
--- /dev/null
+++ b/src/larkhoist/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which instance owns a data hall."""
--- /dev/null
+++ b/src/larkhoist/ownership/tenure.py
@@ -0,0 +1,170 @@
+"""Decide whether this instance owns its data hall, worker by worker.
+
+An owner holds a lease with an epoch at each worker. It acts on a worker only
+while its own count of that lease, started before the request left, has not run
+out. It keeps its tenure only with the leases of a majority of the hall's workers,
+so that of two candidates that are cut off from each other at most one goes on.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from larkhoist.ports.worker import LeaseReply
+
+__all__ = ["LeaseTerms", "Tenure", "WorkerLease", "WorkerLink"]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseTerms:
+    """Hold the times of leases, in seconds.
+
+    ``task_term_s`` is how long tasks outlive the last renewal; it exceeds
+    ``term_s`` by the time that a new owner needs to take over. A worker that is
+    silent for ``lost_after_s`` is given up: its tasks are not renewed any more.
+    """
+
+    term_s: float = 3.0
+    renew_s: float = 1.0
+    task_term_s: float = 10.0
+    lost_after_s: float = 4.0
+    margin_s: float = 0.5
+
+
+class WorkerLink(Enum):
+    """Name what this instance knows of one worker's lease."""
+
+    UNKNOWN = "unknown"
+    HELD = "held"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+
+
+@dataclass(slots=True)
+class WorkerLease:
+    """Hold one worker's lease as this instance counts it.
+
+    ``renewing_s`` is when the last request left that, granted or not heard of,
+    lets the worker's tasks go on.
+    """
+
+    link: WorkerLink = WorkerLink.UNKNOWN
+    until_s: float = 0.0
+    renewing_s: float | None = None
+    answered_s: float | None = None
+
+
+@dataclass(slots=True)
+class Tenure:
+    """Hold this instance's claim to own its data hall."""
+
+    instance: str
+    terms: LeaseTerms
+    epoch: int = 0
+    seen_epoch: int = 0
+    workers: dict[str, WorkerLease] = field(default_factory=dict)
+    majority_since_s: float | None = None
+
+    def set_workers(self, names: set[str]) -> None:
+        """Take over the list of the hall's workers."""
+        for name in names - self.workers.keys():
+            self.workers[name] = WorkerLease()
+        for name in self.workers.keys() - names:
+            del self.workers[name]
+
+    def begin(self) -> None:
+        """Start a tenure with an epoch above every epoch seen."""
+        self.epoch = max(self.seen_epoch, self.epoch) + 1
+        self.majority_since_s = None
+        self.workers = {name: WorkerLease() for name in self.workers}
+
+    def get_task_term(self, name: str, now_s: float) -> float:
+        """Return the task term to ask of a worker, 0 where it was given up."""
+        lease = self.workers[name]
+        if lease.answered_s is None:
+            return self.terms.task_term_s
+        if now_s - lease.answered_s > self.terms.lost_after_s:
+            return 0.0
+        return self.terms.task_term_s
+
+    def note_sent(self, name: str, sent_s: float, task_term_s: float) -> None:
+        """Note that a lease request leaves."""
+        if task_term_s > 0:
+            self.workers[name].renewing_s = sent_s
+
+    def note_reply(self, name: str, sent_s: float, reply: LeaseReply) -> None:
+        """Take a worker's answer; ``sent_s`` is when the request left."""
+        self.seen_epoch = max(self.seen_epoch, reply.epoch)
+        lease = self.workers.get(name)
+        if lease is None:
+            return
+        if reply.granted:
+            lease.link = WorkerLink.HELD
+            lease.until_s = sent_s + self.terms.term_s
+            lease.answered_s = sent_s
+        else:
+            lease.link = WorkerLink.REFUSED
+
+    def note_silence(self, name: str) -> None:
+        """Note that a worker did not answer."""
+        lease = self.workers.get(name)
+        if lease is not None and lease.link is not WorkerLink.HELD:
+            lease.link = WorkerLink.UNREACHABLE
+
+    def holds(self, name: str, now_s: float) -> bool:
+        """Tell whether this instance may command the worker now."""
+        lease = self.workers.get(name)
+        return (
+            lease is not None
+            and lease.link is WorkerLink.HELD
+            and now_s < lease.until_s
+        )
+
+    def update(self, now_s: float) -> None:
+        """Bring lapsed leases and the majority up to ``now_s``."""
+        for name, lease in self.workers.items():
+            if lease.link is WorkerLink.HELD and not self.holds(name, now_s):
+                lease.link = WorkerLink.UNREACHABLE
+        held = sum(self.holds(name, now_s) for name in self.workers)
+        if held * 2 <= len(self.workers) and not self._keeps_half(held):
+            self.majority_since_s = None
+        elif self.majority_since_s is None:
+            self.majority_since_s = now_s
+
+    def _keeps_half(self, held: int) -> bool:
+        # Half is enough to go on but not to begin, so that two halves of a
+        # hall never have an owner each.
+        owned = self.majority_since_s is not None
+        return owned and held > 0 and held * 2 == len(self.workers)
+
+    @property
+    def has_majority(self) -> bool:
+        """Tell whether this instance owns the hall, as of the last update."""
+        return self.majority_since_s is not None
+
+    def is_surely_idle(self, name: str, now_s: float) -> bool:
+        """Tell whether an unreachable worker must have stopped all its tasks.
+
+        The owner before may have renewed it until it lost its own majority,
+        which was before this instance had one.
+        """
+        lease = self.workers.get(name)
+        if lease is None or self.majority_since_s is None:
+            return False
+        last_s = self.majority_since_s
+        if lease.renewing_s is not None:
+            last_s = max(last_s, lease.renewing_s)
+        return now_s > last_s + self.terms.term_s + self.get_idle_wait()
+
+    def get_idle_wait(self) -> float:
+        """Return the seconds after a lease's end until its tasks are stopped."""
+        return self.terms.task_term_s + self.terms.margin_s
+
+    def is_settled(self, now_s: float) -> bool:
+        """Tell whether every worker is held or must have stopped its tasks.
+
+        Only then does the owner know all that runs in the hall.
+        """
+        return self.has_majority and all(
+            self.holds(name, now_s) or self.is_surely_idle(name, now_s)
+            for name in self.workers
+        )
--- /dev/null
+++ b/src/larkhoist/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Find accelerators for jobs, with guarantees kept."""
--- /dev/null
+++ b/src/larkhoist/ports/__init__.py
@@ -0,0 +1,1 @@
+"""State what the system needs from outside, as typed ports."""
--- /dev/null
+++ b/src/larkhoist/problem.py
@@ -0,0 +1,36 @@
+"""Describe a refusal or an error to people and programs in one shape."""
+
+from dataclasses import dataclass, replace
+
+from larkhoist.codes import Code, describe_code
+
+__all__ = ["Problem"]
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """Hold one numbered result with what the reader needs to mend it.
+
+    ``retry_after_s`` is in seconds; None means that coming back will not help.
+    """
+
+    code: Code
+    detail: str = ""
+    field: str = ""
+    value: str = ""
+    remedy: str = ""
+    retry_after_s: float | None = None
+
+    def __str__(self):
+        parts = [f"{self.code.value} {self.code.name}: {describe_code(self.code)}"]
+        if self.field:
+            parts.append(f"field {self.field} = {self.value or '(nothing)'}")
+        if self.detail:
+            parts.append(self.detail)
+        if self.remedy:
+            parts.append(f"remedy: {self.remedy}")
+        return "; ".join(parts)
+
+    def with_retry(self, retry_after_s: float) -> "Problem":
+        """Return the same failure with a time to come back, in seconds."""
+        return replace(self, retry_after_s=retry_after_s)
--- /dev/null
+++ b/src/larkhoist/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Decide what happens to one small request."""
--- /dev/null
+++ b/src/larkhoist/requests/retry_budget.py
@@ -0,0 +1,25 @@
+"""Bound retries to a share of the first attempts."""
+
+from dataclasses import dataclass
+
+__all__ = ["RetryBudget"]
+
+
+@dataclass(slots=True)
+class RetryBudget:
+    """Hold tokens: a first attempt adds ``ratio`` of one, a retry spends one."""
+
+    ratio: float
+    burst: float
+    tokens: float
+
+    def note_first(self) -> None:
+        """Count a first attempt."""
+        self.tokens = min(self.burst, self.tokens + self.ratio)
+
+    def try_spend(self) -> bool:
+        """Spend a token for one retry; return False where none is left."""
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
--- /dev/null
+++ b/src/larkhoist/scheduling/drain.py
@@ -0,0 +1,63 @@
+"""Choose the workers that clear first for a gang that has waited long."""
+
+from collections.abc import Callable, Mapping
+
+from larkhoist.log.objects import JobSpec
+from larkhoist.placement.blocks import get_level
+from larkhoist.scheduling.accelerators import Accelerators
+from larkhoist.scheduling.hall_job import Reservation
+
+__all__ = ["choose_reservation"]
+
+
+def choose_reservation(
+    accelerators: Accelerators,
+    spec: JobSpec,
+    clear_times: Mapping[str, float],
+    may_reserve: Callable[[str], bool],
+    now_s: float,
+) -> Reservation | None:
+    """Return the workers that will be clear first, or None where none can be.
+
+    ``clear_times`` holds when the work on a worker should have ended; a worker
+    without an entry is clear now.
+    """
+    if spec.adjacency == "hall" and spec.members > 1:
+        groups = [list(accelerators.workers)]
+    else:
+        firm = accelerators.firm
+        groups = [firm.get_rack_workers(rack) for rack in firm.iter_racks()]
+    best: Reservation | None = None
+    for names in groups:
+        found = _choose_in_group(
+            accelerators, spec, names, clear_times, may_reserve, now_s
+        )
+        if found is not None and (best is None or found.ready_s < best.ready_s):
+            best = found
+    return best
+
+
+def _choose_in_group(
+    accelerators, spec, names, clear_times, may_reserve, now_s
+) -> Reservation | None:
+    candidates = sorted(
+        (clear_times.get(name, now_s), name)
+        for name in names
+        if accelerators.workers[name].usable and may_reserve(name)
+    )
+    chosen: list[str] = []
+    needed = 1 if spec.adjacency == "worker" else spec.members
+    block = spec.total if spec.adjacency == "worker" else spec.accelerators
+    ready_s = now_s
+    for clear_s, name in candidates:
+        if needed <= 0:
+            break
+        fitting = accelerators.workers[name].size >> get_level(block)
+        if fitting == 0:
+            continue
+        chosen.append(name)
+        needed -= fitting
+        ready_s = max(ready_s, clear_s)
+    if needed > 0:
+        return None
+    return Reservation(tuple(chosen), now_s, ready_s)
--- /dev/null
+++ b/src/larkhoist/scheduling/hall.py
@@ -0,0 +1,566 @@
+"""Schedule the jobs of one data hall.
+
+The scheduler is a pure state machine: it is told what the log, the workers and
+the clock say and returns what to send and to append. Daemon and replay drive the
+same object.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Mapping
+
+from larkhoist.codes import Code
+from larkhoist.log.objects import CustomerSpec, JobSpec
+from larkhoist.log.records import JobFinished, JobRequeued
+from larkhoist.placement.guarantee import (
+    can_cover,
+    count_cells,
+    get_needed_cells,
+    subtract_claims,
+)
+from larkhoist.placement.index import MemberPlace
+from larkhoist.ports.worker import TaskCommand, TaskReport, TaskState, Verb
+from larkhoist.scheduling.accelerators import Accelerators
+from larkhoist.scheduling.attempt import Attempt, Member, MemberState, Phase
+from larkhoist.scheduling.drain import choose_reservation
+from larkhoist.scheduling.effect import Append, Effect, Send
+from larkhoist.scheduling.hall_job import HallJob, JobPhase
+from larkhoist.scheduling.policy import SchedulingPolicy
+from larkhoist.scheduling.quarantine import Quarantine
+from larkhoist.scheduling.queue_order import get_queue_key
+from larkhoist.scheduling.runtime import RuntimeLearner
+from larkhoist.scheduling.victims import BorrowedUse, find_cheapest_places
+
+__all__ = ["HallScheduler", "create_hall_scheduler"]
+
+_ACTIVE_TASKS = (TaskState.PREPARED, TaskState.RUNNING, TaskState.THROTTLED)
+
+
+class HallScheduler:
+    """Place, run and end the jobs of one data hall."""
+
+    def __init__(self, hall: str, policy: SchedulingPolicy):
+        self.hall = hall
+        self.policy = policy
+        self.accelerators = Accelerators()
+        self.jobs: dict[str, HallJob] = {}
+        self.customers: dict[str, CustomerSpec] = {}
+        self.learner = RuntimeLearner()
+        self.quarantine = Quarantine()
+        self._reports: dict[str, tuple[TaskReport, ...]] = {}
+        self._usable: dict[str, bool] = {}
+
+    # What the scheduler is told.
+
+    def add_worker(self, name: str, rack: str, size: int) -> None:
+        """Add a worker of the hall."""
+        self.accelerators.add_worker(name, rack, size)
+        self._usable[name] = True
+
+    def remove_worker(self, name: str) -> None:
+        """Take a worker off the hall; its members are lost."""
+        self.note_idle(name)
+        self.accelerators.remove_worker(name)
+        del self._usable[name]
+        self._reports.pop(name, None)
+
+    def set_usable(self, name: str, usable: bool) -> None:
+        """Let new work go to a worker, or keep it away."""
+        self._usable[name] = usable
+        self.accelerators.set_usable(name, usable)
+
+    def set_customers(self, customers: Mapping[str, CustomerSpec]) -> None:
+        """Take over the customers in force."""
+        self.customers = dict(customers)
+
+    def add_job(
+        self, spec: JobSpec, attempt: int, now_s: float, recovering: bool = False
+    ) -> None:
+        """Take a job into the hall; ``recovering`` where it may run already."""
+        phase = JobPhase.RECOVERING if recovering else JobPhase.WAITING
+        self.jobs[spec.job_id] = HallJob(spec, now_s, attempt, phase)
+
+    def cancel_job(self, job_id: str, now_s: float) -> list[Effect]:
+        """End a job on its customer's wish."""
+        job = self.jobs[job_id]
+        if job.cancelled:
+            return []
+        job.cancelled = True
+        if job.phase is JobPhase.WAITING:
+            return self._end_job(job, Code.JOB_CANCELLED)
+        if job.phase is JobPhase.ACTIVE:
+            return job.current.stop(Code.JOB_CANCELLED, now_s)
+        return []
+
+    def note_placed(self, job_id: str, attempt: int) -> None:
+        """Note that the log says that an attempt was placed."""
+        if job_id in self.jobs:
+            self.jobs[job_id].placed_attempt = attempt
+
+    def note_ended(self, job_id: str) -> list[Effect]:
+        """Note that the log says that a job has ended; drop it."""
+        job = self.jobs.pop(job_id, None)
+        if job is None:
+            return []
+        self._release(job)
+        return job.current.forget() if job.current is not None else []
+
+    def note_command(self, command: TaskCommand, done: bool | None) -> None:
+        """Take the outcome of a command; None where no answer came."""
+        job = self.jobs.get(command.job_id)
+        if job is None or job.current is None:
+            return
+        if job.current.number == command.attempt:
+            job.current.note_command(command.member, command.verb, done)
+
+    def note_report(
+        self, worker: str, tasks: tuple[TaskReport, ...], now_s: float
+    ) -> list[Effect]:
+        """Take a worker's full report; return what to do about stray tasks."""
+        self._reports[worker] = tasks
+        by_attempt: dict[tuple[str, int], dict[int, TaskReport]] = defaultdict(dict)
+        for task in tasks:
+            by_attempt[(task.job_id, task.attempt)][task.member] = task
+        for job in self.jobs.values():
+            if job.phase is JobPhase.ACTIVE:
+                found = by_attempt.pop((job.spec.job_id, job.current.number), {})
+                job.current.note_reports(worker, found, now_s)
+        return self._clear_strays(worker, by_attempt)
+
+    def note_idle(self, worker: str) -> None:
+        """Note that a worker has surely stopped everything."""
+        for job in self.jobs.values():
+            if job.phase is JobPhase.ACTIVE:
+                job.current.note_idle((worker,))
+
+    def recover(self, now_s: float) -> list[Effect]:
+        """Take over what runs, once every worker is known (a settled tenure)."""
+        effects: list[Effect] = []
+        for job in self.jobs.values():
+            if job.phase is JobPhase.RECOVERING:
+                effects += self._recover_job(job, now_s)
+        return effects
+
+    def forget_reports(self) -> None:
+        """Drop the reports of an earlier tenure."""
+        self._reports.clear()
+
+    # What the scheduler decides.
+
+    def decide(self, now_s: float) -> list[Effect]:
+        """Move every attempt on and place what can be placed."""
+        self._apply_quarantine(now_s)
+        effects: list[Effect] = []
+        for job in list(self.jobs.values()):
+            if job.phase is not JobPhase.ACTIVE:
+                continue
+            noted = job.placed_attempt >= job.current.number
+            effects += job.current.step(now_s, noted)
+            if job.current.phase is Phase.ENDED:
+                effects += self._conclude(job, now_s)
+        return effects + self._place_waiting(now_s)
+
+    def explain(self, job_id: str, now_s: float) -> str:
+        """Return in one sentence why a job waits or where it runs."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return f"job {job_id} is not in data hall {self.hall}"
+        if job.phase is JobPhase.ACTIVE:
+            workers = sorted({m.place.worker for m in job.current.members})
+            return f"{job.current.phase.value} on {', '.join(workers)}"
+        if job.phase is not JobPhase.WAITING:
+            return job.phase.value
+        if job.held:
+            return "waiting while borrowed accelerators are reclaimed"
+        if job.reservation is not None:
+            wait_s = max(0.0, job.reservation.ready_s - now_s)
+            names = ", ".join(job.reservation.workers)
+            return f"reserved {names}; expected to be clear in {wait_s:.0f} s"
+        spec = job.spec
+        free = self.accelerators.free.free_total
+        return (
+            f"waiting for {spec.members} x {spec.accelerators} accelerators "
+            f"in one {spec.adjacency}; {free} are free"
+        )
+
+    # Ends of attempts.
+
+    def _conclude(self, job: HallJob, now_s: float) -> list[Effect]:
+        attempt = job.current
+        code = Code(attempt.code)
+        self._release(job)
+        self._learn(job, attempt, now_s)
+        if job.cancelled and code is not Code.JOB_FINISHED:
+            return self._end_job(job, Code.JOB_CANCELLED)
+        if code in (Code.JOB_FINISHED, Code.JOB_CANCELLED):
+            return self._end_job(job, code)
+        if code in (Code.JOB_FAILED, Code.MEMBER_LOST):
+            job.failures += code is Code.JOB_FAILED
+            if job.failures >= self.policy.max_failures:
+                return self._end_job(job, Code.JOB_FAILED)
+        ran = code is not Code.START_INCOMPLETE and not attempt.is_checkpointed
+        if ran and not job.spec.repeatable:
+            return self._end_job(job, code)
+        return self._requeue(job, code)
+
+    def _requeue(self, job: HallJob, code: Code) -> list[Effect]:
+        record = JobRequeued(job.spec.job_id, self.hall, job.attempt, code)
+        effects: list[Effect] = [Append(record)]
+        if job.current is not None:
+            effects += job.current.forget()
+        job.current = None
+        job.attempt += 1
+        job.phase = JobPhase.WAITING
+        job.code = code
+        return effects
+
+    def _end_job(self, job: HallJob, code: Code) -> list[Effect]:
+        self._drop_claims(job)
+        job.phase = JobPhase.ENDING
+        job.code = code
+        record = JobFinished(job.spec.job_id, self.hall, job.attempt, code)
+        return [Append(record)]
+
+    def _learn(self, job: HallJob, attempt: Attempt, now_s: float) -> None:
+        workers = {member.place.worker for member in attempt.members}
+        if attempt.code is Code.JOB_FINISHED:
+            self.learner.note(job.spec, attempt.changed_s - attempt.started_s)
+            for worker in workers:
+                self.quarantine.note_success(worker)
+        count = len(self.accelerators.workers)
+        for worker in set(attempt.failed_workers):
+            self.quarantine.note_failure(worker, job.spec.job_id, count, now_s)
+
+    def _release(self, job: HallJob) -> None:
+        if job.current is not None and job.phase is JobPhase.ACTIVE:
+            self.accelerators.release(job.current.get_places())
+        self._drop_claims(job)
+
+    def _drop_claims(self, job: HallJob) -> None:
+        self.accelerators.drop_hold(job.held)
+        job.held = []
+        if job.reservation is not None:
+            self.accelerators.set_reserved(job.reservation.workers, False)
+            job.reservation = None
+        job.firm = False
+
+    def _apply_quarantine(self, now_s: float) -> None:
+        for name, usable in self._usable.items():
+            kept_out = self.quarantine.holds(name, now_s)
+            self.accelerators.set_usable(name, usable and not kept_out)
+
+    # Recovery and strays.
+
+    def _clear_strays(self, worker, by_attempt) -> list[Effect]:
+        effects: list[Effect] = []
+        for (job_id, number), tasks in by_attempt.items():
+            job = self.jobs.get(job_id)
+            if job is None or job.phase is JobPhase.RECOVERING:
+                continue
+            if job.phase is JobPhase.ENDING and number == job.attempt:
+                continue
+            for task in tasks.values():
+                verb = Verb.STOP if task.state in _ACTIVE_TASKS else Verb.FORGET
+                command = TaskCommand(verb, job_id, number, task.member)
+                effects.append(Send(worker, command))
+        return effects
+
+    def _recover_job(self, job: HallJob, now_s: float) -> list[Effect]:
+        found: dict[int, dict[int, tuple[str, TaskReport]]] = defaultdict(dict)
+        for worker, tasks in self._reports.items():
+            for task in tasks:
+                if task.job_id == job.spec.job_id:
+                    found[task.attempt][task.member] = (worker, task)
+        newest = max(found, default=0)
+        job.attempt = max(job.attempt, newest)
+        if newest < job.attempt:
+            return self._recover_absent(job)
+        members = [
+            self._recover_member(found[newest].get(index))
+            for index in range(job.spec.members)
+        ]
+        job.current = Attempt(
+            job.spec, self.hall, newest, members, self.policy.times, changed_s=now_s
+        )
+        job.phase = JobPhase.ACTIVE
+        job.firm = job.spec.guaranteed and self._fits_guarantee(job)
+        places = [m.place for m in members if m.place.worker]
+        self.accelerators.use(places, job.firm)
+        return job.current.recover(now_s)
+
+    def _recover_absent(self, job: HallJob) -> list[Effect]:
+        if job.placed_attempt < job.attempt:
+            job.phase = JobPhase.WAITING
+            return []
+        if not job.spec.repeatable:
+            return self._end_job(job, Code.MEMBER_LOST)
+        return self._requeue(job, Code.MEMBER_LOST)
+
+    def _recover_member(self, found: tuple[str, TaskReport] | None) -> Member:
+        if found is None:
+            return Member(MemberPlace("", 0), MemberState.GONE)
+        worker, report = found
+        member = Member(MemberPlace(worker, report.accelerators))
+        states = {
+            TaskState.PREPARED: MemberState.PREPARED,
+            TaskState.RUNNING: MemberState.RUNNING,
+            TaskState.THROTTLED: MemberState.RUNNING,
+            TaskState.FINISHED: MemberState.FINISHED,
+            TaskState.FAILED: MemberState.FAILED,
+            TaskState.STOPPED: MemberState.GONE,
+        }
+        member.state = states[report.state]
+        member.elapsed_s = report.elapsed_s
+        return member
+
+    # Placement.
+
+    def _place_waiting(self, now_s: float) -> list[Effect]:
+        waiting = [j for j in self.jobs.values() if j.phase is JobPhase.WAITING]
+        if not waiting:
+            return []
+        waiting.sort(key=lambda job: get_queue_key(job, self._expect(job.spec), now_s))
+        effects: list[Effect] = []
+        failed: set[tuple[int, int, str]] = set()
+        for job in waiting:
+            effects += self._place_job(job, failed, now_s)
+        return effects
+
+    def _place_job(self, job: HallJob, failed: set, now_s: float) -> list[Effect]:
+        if job.held:
+            return self._place_held(job, now_s)
+        job.firm = job.spec.guaranteed and self._fits_guarantee(job)
+        places = None
+        if job.reservation is not None:
+            places = self._find_reserved(job)
+        shape = job.get_shape()
+        if places is None and shape not in failed:
+            places = self._find_free(job, now_s)
+            if places is None:
+                failed.add(shape)
+        if places is not None:
+            return self._begin_attempt(job, places, now_s)
+        if job.firm or job.spec.urgent:
+            return self._reclaim_for(job, now_s)
+        return self._reserve_for(job, now_s)
+
+    def _find_free(self, job: HallJob, now_s: float) -> list[MemberPlace] | None:
+        places = self.accelerators.free.find(*job.get_shape())
+        if places is not None and job.firm and not self._keeps_guarantees(job, places):
+            places = None
+        if places is None and self.policy.backfill:
+            places = self._find_backfill(job, now_s)
+        return places
+
+    def _find_reserved(self, job: HallJob) -> list[MemberPlace] | None:
+        index = self.accelerators.make_subindex(job.reservation.workers)
+        return index.find(*job.get_shape())
+
+    def _find_backfill(self, job: HallJob, now_s: float) -> list[MemberPlace] | None:
+        if job.firm or job.spec.urgent:
+            return None
+        ends_s = now_s + self.learner.predict(job.spec)
+        names = [
+            name
+            for other in self.jobs.values()
+            if other.reservation is not None and other.reservation.ready_s >= ends_s
+            for name in other.reservation.workers
+        ]
+        if not names:
+            return None
+        return self.accelerators.make_subindex(names).find(*job.get_shape())
+
+    def _begin_attempt(self, job, places, now_s) -> list[Effect]:
+        firm = job.firm
+        self._drop_claims(job)
+        job.firm = firm
+        members = [Member(place) for place in places]
+        job.current = Attempt(
+            job.spec, self.hall, job.attempt, members, self.policy.times
+        )
+        job.phase = JobPhase.ACTIVE
+        self.accelerators.use(places, firm)
+        return job.current.begin(now_s)
+
+    # Guarantees and reclaim.
+
+    def _fits_guarantee(self, job: HallJob) -> bool:
+        customer = self.customers.get(job.spec.customer)
+        if customer is None:
+            return False
+        claims = [
+            get_needed_cells(other.spec)
+            for other in self.jobs.values()
+            if other.firm
+            and other is not job
+            and other.spec.customer == job.spec.customer
+        ]
+        claims.append(get_needed_cells(job.spec))
+        return subtract_claims(self._get_guarantee(customer), claims) is not None
+
+    def _get_guarantee(self, customer: CustomerSpec) -> Counter[int]:
+        cells: Counter[int] = Counter()
+        for guarantee in customer.guarantees:
+            if guarantee.hall == self.hall:
+                cells.update(count_cells(guarantee.cells))
+        return cells
+
+    def get_unclaimed(self, claimant: HallJob | None = None) -> Counter[int]:
+        """Return the cells of all guarantees that are not in use.
+
+        ``claimant`` counts as if it ran.
+        """
+        unclaimed: Counter[int] = Counter()
+        for customer in self.customers.values():
+            claims = [
+                get_needed_cells(job.spec)
+                for job in self.jobs.values()
+                if job.firm
+                and job.spec.customer == customer.name
+                and (job.phase is JobPhase.ACTIVE or job is claimant)
+            ]
+            left = subtract_claims(self._get_guarantee(customer), claims)
+            unclaimed.update(left or Counter())
+        return unclaimed
+
+    def check_guarantees(self, claimant: HallJob | None = None) -> tuple[bool, str]:
+        """Tell whether free or reclaimable cells cover unclaimed guarantees."""
+        size = self.accelerators.firm.get_largest_size()
+        return can_cover(self.accelerators.firm, self.get_unclaimed(claimant), size)
+
+    def _keeps_guarantees(self, job: HallJob, places: list[MemberPlace]) -> bool:
+        self.accelerators.firm.take(places)
+        covered, _ = self.check_guarantees(job)
+        self.accelerators.firm.give_back(places)
+        return covered
+
+    def _reclaim_for(self, job: HallJob, now_s: float) -> list[Effect]:
+        uses = self._list_reclaimable(job)
+        places = find_cheapest_places(self.accelerators, job.spec, uses)
+        if places is not None and job.firm and not self._keeps_guarantees(job, places):
+            places = self.accelerators.firm.find(*job.get_shape())
+        if places is None:
+            return []
+        if not job.firm and not self._can_displace(places, uses):
+            return []
+        self.accelerators.hold(places)
+        job.held = places
+        return self._reclaim_places(places, uses, now_s)
+
+    def _can_displace(self, places, uses) -> bool:
+        for place in places:
+            worker = self.accelerators.workers[place.worker]
+            covered = 0
+            for use in uses.get(place.worker, ()):
+                covered |= use.mask
+            if worker.busy & place.mask & ~covered:
+                return False
+        return True
+
+    def _list_reclaimable(self, claimant: HallJob) -> dict[str, list[BorrowedUse]]:
+        uses: dict[str, list[BorrowedUse]] = defaultdict(list)
+        for job in self.jobs.values():
+            if job.phase is not JobPhase.ACTIVE or job.firm:
+                continue
+            if job.spec.urgent and not claimant.firm:
+                continue
+            cost = float(job.spec.total)
+            for member in job.current.members:
+                place = member.place
+                use = BorrowedUse(job.spec.job_id, place.mask, cost)
+                uses[place.worker].append(use)
+        return uses
+
+    def _reclaim_places(self, places, uses, now_s) -> list[Effect]:
+        victims: dict[str, None] = {}
+        for place in places:
+            for use in uses.get(place.worker, ()):
+                if use.mask & place.mask:
+                    victims[use.job_id] = None
+        effects: list[Effect] = []
+        for job_id in victims:
+            attempt = self.jobs[job_id].current
+            if attempt.phase not in (Phase.RECLAIMING, Phase.STOPPING, Phase.ENDED):
+                effects += attempt.reclaim(now_s)
+        return effects
+
+    def _place_held(self, job: HallJob, now_s: float) -> list[Effect]:
+        if not self.accelerators.are_usable(job.held):
+            firm = job.firm
+            self._drop_claims(job)
+            job.firm = firm
+            return []
+        if not self.accelerators.is_clear(job.held):
+            return []
+        return self._begin_attempt(job, job.held, now_s)
+
+    # Reservations.
+
+    def _reserve_for(self, job: HallJob, now_s: float) -> list[Effect]:
+        if job.reservation is not None:
+            return self._drain_reservation(job, now_s)
+        if job.spec.total == 1 or now_s - job.submitted_s < self.policy.patience_s:
+            return []
+        reserved = [
+            name
+            for other in self.jobs.values()
+            if other.reservation is not None
+            for name in other.reservation.workers
+        ]
+        clear_times = self._predict_clear_times(now_s)
+        found = choose_reservation(
+            self.accelerators,
+            job.spec,
+            clear_times,
+            lambda name: not self.accelerators.workers[name].reserved,
+            now_s,
+        )
+        if found is None:
+            return []
+        limit = self.policy.reserved_share * len(self.accelerators.workers)
+        if reserved and len(reserved) + len(found.workers) > limit:
+            return []
+        job.reservation = found
+        self.accelerators.set_reserved(found.workers, True)
+        return []
+
+    def _drain_reservation(self, job: HallJob, now_s: float) -> list[Effect]:
+        reservation = job.reservation
+        if not self._is_reservation_usable(job):
+            self.accelerators.set_reserved(reservation.workers, False)
+            job.reservation = None
+            return []
+        late = now_s - reservation.made_s > self.policy.drain_s
+        if not late or reservation.reclaimed:
+            return []
+        reservation.reclaimed = True
+        uses = self._list_reclaimable(job)
+        places = [
+            MemberPlace(name, self.accelerators.workers[name].busy)
+            for name in reservation.workers
+        ]
+        return self._reclaim_places(places, uses, now_s)
+
+    def _is_reservation_usable(self, job: HallJob) -> bool:
+        places = [MemberPlace(name, 0) for name in job.reservation.workers]
+        return self.accelerators.are_usable(places)
+
+    def _predict_clear_times(self, now_s: float) -> dict[str, float]:
+        clear: dict[str, float] = {}
+        for job in self.jobs.values():
+            if job.phase is not JobPhase.ACTIVE:
+                continue
+            attempt = job.current
+            began_s = attempt.started_s or now_s
+            end_s = max(now_s, began_s + self._expect(job.spec))
+            for member in attempt.members:
+                name = member.place.worker
+                clear[name] = max(clear.get(name, now_s), end_s)
+        return clear
+
+    def _expect(self, spec: JobSpec) -> float:
+        return self.learner.predict(spec, quantile=0.5)
+
+
+def create_hall_scheduler(hall: str, policy: SchedulingPolicy) -> HallScheduler:
+    """Return a scheduler that knows no worker and no job yet."""
+    return HallScheduler(hall, policy)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform, its workers and upstreams; not shipped."""
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,34 @@
+"""Serve one stand-in as a process until it is told to stop."""
+
+import asyncio
+import signal
+
+import uvloop
+from aiohttp import web
+
+__all__ = ["serve_forever", "start_site"]
+
+
+async def start_site(app: web.Application, address: str, port: int) -> web.AppRunner:
+    """Serve ``app``; port 0 takes a free one, see ``runner.addresses``."""
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    await web.TCPSite(runner, address, port, backlog=1024).start()
+    return runner
+
+
+def serve_forever(start) -> None:
+    """Run the coroutine function ``start``, which returns the runners to close."""
+
+    async def run() -> None:
+        stopped = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopped.set)
+        runners = await start()
+        print("ready", *(runner.addresses[0][1] for runner in runners), flush=True)
+        await stopped.wait()
+        for runner in runners:
+            await runner.cleanup()
+
+    uvloop.run(run())
