--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -81,8 +81,9 @@
 class Cluster:
     """Own the processes of one cluster."""
 
-    def __init__(self, shape: ClusterShape):
+    def __init__(self, shape: ClusterShape, daemon: str):
         self.shape = shape
+        self._daemon = daemon
         self.processes: dict[str, Process] = {}
         self.addresses: dict[str, str] = {}
         self.listed: list[dict] = []
@@ -123,6 +124,11 @@
             await self.session.close()
         self._folder.cleanup()
 
+    async def kill(self, name: str) -> None:
+        """Kill a process and wait until it is gone."""
+        self.processes[name].kill()
+        await self.processes[name].handle.wait()
+
     # Names and addresses.
 
     def get_instances(self, hall: str) -> list[str]:
@@ -144,13 +150,13 @@
         command = [
             sys.executable,
             "-m",
-            "larkhoist.daemon.main",
+            self._daemon,
             str(self._settings[name]),
         ]
         log = Path(self._folder.name) / f"{name}.log"
         with log.open("ab") as output:
             handle = await asyncio.create_subprocess_exec(
-                *command, stdout=output, stderr=output
+                *command, stdout=output, stderr=output, cwd=_get_root()
             )
         process = Process(name, handle, command, log=log)
         self.processes[name] = process
@@ -339,24 +345,34 @@
         await wait_for(is_there, f"{job} is {state}", timeout_s=90.0)
         return shown
 
-    async def find_owner(self, hall: str, timeout_s: float = 30.0) -> str:
-        """Wait until a hall has an owner and return its name."""
+    async def find_owner(self, hall: str, others: tuple[str, ...] = ()) -> str:
+        """Wait until a live instance, none of ``others``, owns a hall."""
         owner = ""
 
         async def has_owner() -> bool:
             nonlocal owner
             for name in self.get_instances(hall):
-                process = self.processes[name]
-                if process.handle.returncode is None and not process.frozen:
-                    status = (await self.get(name, "/v1/status")).json()
-                    shown = [h for h in status["halls"] if h["hall"] == hall]
-                    owner = shown[0]["owner"] if shown else ""
-                    return bool(owner)
-            return False
+                if name not in others and await self._owns_hall(name):
+                    owner = name
+            return bool(owner)
 
-        await wait_for(has_owner, f"{hall} has an owner", timeout_s)
+        await wait_for(has_owner, f"{hall} has an owner")
         return owner
 
+    async def _owns_hall(self, name: str) -> bool:
+        process = self.processes[name]
+        if process.handle.returncode is not None or process.frozen:
+            return False
+        return (await self.read_metric(name, "larkhoist_owner_epoch")) > 0
+
+    async def read_metric(self, name: str, metric: str) -> float:
+        """Return one metric of an instance, 0 where it has none."""
+        page = (await self.get(name, "/metrics")).body.decode()
+        for line in page.splitlines():
+            if line.startswith((f"{metric} ", f"{metric}{{")):
+                return float(line.split()[-1])
+        return 0.0
+
 
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -398,9 +414,14 @@
             one.close()
 
 
-def create_cluster(shape: ClusterShape) -> Cluster:
-    """Return a cluster; start it before use and close it in any case."""
-    return Cluster(shape)
+def create_cluster(
+    shape: ClusterShape, daemon: str = "larkhoist.daemon.main"
+) -> Cluster:
+    """Return a cluster; start it before use and close it in any case.
+
+    ``daemon`` is the module that runs as an instance.
+    """
+    return Cluster(shape, daemon)
 
 
 def _get_root() -> str:
--- /dev/null
+++ b/tests/checkers/__init__.py
@@ -0,0 +1,1 @@
+"""Check histories of concurrent runs against the promises."""
--- /dev/null
+++ b/tests/promises/__init__.py
@@ -0,0 +1,1 @@
+"""Prove each promise on real processes and on the pure core."""
