Keep gangs whole through any interleaving of faults; mend four found by it

Cause: the hall scheduler was driven by good weather only. A machine on a passed clock, led by hypothesis through kills, cuts, freezes, lost replies, new owners and log outages, found four faults in turn, each the shortest plan given: 1. a dead worker at the start: a second candidate kept a minority of leases for ever, so no owner was ever settled; candidates now yield after two terms and when a peer outranks them; 2. a worker back after its lease had lapsed refused the old epoch for ever; epochs now rise for each worker; 3. two candidates with half of the leases each went on in step for ever; same remedy as 1; 4. lost start replies on a job that is not repeatable: the attempt was taken for never started and ran twice; an attempt now knows whether it may have run, and a new owner reads the log to its end before it judges such a job.

Ruled out: taking the log's word alone in 4, since a new owner's fold may lag.

--- a/src/larkhoist/daemon/hall_owner.py
+++ b/src/larkhoist/daemon/hall_owner.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from larkhoist.adapters.worker import create_worker
+from larkhoist.daemon.log_follower import LogFollower
 from larkhoist.daemon.log_writer import LogWriter
 from larkhoist.daemon.logs import log_event
 from larkhoist.daemon.state_keeper import StateKeeper
@@ -27,6 +28,7 @@
 
 _logger = logging.getLogger(__name__)
 CLAIM_STEP_S = 2.0
+CATCH_UP_S = 1.0
 LEAST_SLOTS_FOR_REQUESTS = 2
 
 
@@ -35,23 +37,24 @@
 
     def __init__(
         self,
-        instance: str,
+        incarnation: str,
         hall: str,
         terms: LeaseTerms,
         policy: SchedulingPolicy,
         keeper: StateKeeper,
         writer: LogWriter,
+        follower: LogFollower,
         interval_s: float,
         is_candidate: Callable[[], bool],
     ):
-        self._instance = instance
         self._hall = hall
         self._policy = policy
         self._keeper = keeper
         self._writer = writer
+        self._follower = follower
         self._interval_s = interval_s
         self._is_candidate = is_candidate
-        self.tenure = Tenure(instance, terms)
+        self.tenure = Tenure(incarnation, terms)
         self.scheduler: HallScheduler | None = None
         self._session: aiohttp.ClientSession | None = None
         self._links: dict[str, WorkerLinkTask] = {}
@@ -62,9 +65,10 @@
         self._inbox: list[LeaseAnswer | CommandAnswer] = []
         self._first_seen: dict[str, float] = {}
         self._claimed: set[str] = set()
-        self._recovered = False
-        self._trying_since_s: float | None = None
+        self._log_current = False
         self._next_try_s = 0.0
+        self._next_catch_up_s = 0.0
+        self._catching_up: asyncio.Task[bool] | None = None
         self._synced_offset: int | None = None
         self._waits_to_claim = False
         self._task: asyncio.Task | None = None
@@ -140,7 +144,7 @@
     async def _tick(self, now_s: float) -> None:
         self._take_answers(now_s)
         self.tenure.update(now_s)
-        if self._trying_since_s is None:
+        if not self.tenure.is_trying:
             if now_s >= self._next_try_s and self._workers and self._is_candidate():
                 await self._begin_trying(now_s)
             return
@@ -150,31 +154,40 @@
         elif self.scheduler is not None and not self.tenure.has_majority:
             await self._give_up(now_s, "majority-lost")
             return
-        elif self.scheduler is None and self._must_yield(now_s):
+        elif self.tenure.must_yield(now_s) or self._is_outranked():
             await self._give_up(now_s, "no-majority")
             return
         if self.scheduler is not None:
+            self._catch_up(now_s)
             self._schedule(now_s)
 
+    def _catch_up(self, now_s: float) -> None:
+        """Read the log to its end once in each tenure, beside the scheduling."""
+        if self._catching_up is not None:
+            if not self._catching_up.done():
+                return
+            self._log_current = self._catching_up.result()
+            self._catching_up = None
+        if not self._log_current and now_s >= self._next_catch_up_s:
+            self._next_catch_up_s = now_s + CATCH_UP_S
+            self._catching_up = asyncio.create_task(self._follower.catch_up())
+
     # Tenure.
 
     async def _begin_trying(self, now_s: float) -> None:
-        self.tenure.begin()
-        self._trying_since_s = now_s
+        self.tenure.begin(now_s)
         log_event(_logger, "tenure-tried", hall=self._hall, epoch=self.tenure.epoch)
         await self._match_links()
 
-    def _must_yield(self, now_s: float) -> bool:
-        # A worker's lease may take its whole term to lapse, and a refusal may
-        # show an epoch that is not below ours.
-        terms = self.tenure.terms
-        late = now_s - self._trying_since_s > terms.term_s * 2 + terms.renew_s
-        return late or self.tenure.seen_epoch > self.tenure.epoch
+    def _is_outranked(self) -> bool:
+        # Two candidates that each hold half of the leases would go on for ever;
+        # the one that comes later in the order makes room.
+        return self.scheduler is None and not self._is_candidate()
 
     async def _give_up(self, now_s: float, reason: str) -> None:
         log_event(_logger, "tenure-ended", epoch=self.tenure.epoch, reason=reason)
         self.scheduler = None
-        self._trying_since_s = None
+        self.tenure.end()
         pause_s = self.tenure.terms.renew_s * (0.5 + self._random.random())
         self._next_try_s = now_s + pause_s
         await self._close_links()
@@ -183,7 +196,8 @@
     def _gain(self) -> None:
         log_event(_logger, "tenure-gained", hall=self._hall, epoch=self.tenure.epoch)
         self.scheduler = create_hall_scheduler(self._hall, self._policy)
-        self._recovered = False
+        self._log_current = False
+        self._catching_up = None
         self._synced_offset = None
         self._claimed.clear()
 
@@ -209,10 +223,10 @@
         changed = self._synced_offset != self._keeper.state.next_offset
         if changed or self._waits_to_claim:
             self._sync_jobs(now_s)
-        if not self._recovered and self.tenure.is_settled(now_s):
-            self._recovered = True
-            self._carry_out(scheduler.recover(now_s), now_s)
-            log_event(_logger, "hall-recovered", jobs=len(scheduler.jobs))
+        if scheduler.has_recovering() and self.tenure.is_settled(now_s):
+            self._carry_out(scheduler.recover(self._log_current, now_s), now_s)
+            if not scheduler.has_recovering():
+                log_event(_logger, "hall-recovered", jobs=len(scheduler.jobs))
         self._carry_out(scheduler.decide(now_s), now_s)
 
     def _match_workers(self, now_s: float) -> None:
--- a/src/larkhoist/daemon/instance.py
+++ b/src/larkhoist/daemon/instance.py
@@ -74,12 +74,13 @@
             self._platform, self._keeper, timing.snapshot_s, self._is_first_instance
         )
         self._owner = HallOwner(
-            settings.instance,
+            incarnation,
             settings.hall,
             _make_lease_terms(settings),
             _make_scheduling_policy(settings),
             self._keeper,
             self._writer,
+            self._follower,
             timing.decide_s,
             self._is_candidate,
         )
--- a/src/larkhoist/daemon/log_follower.py
+++ b/src/larkhoist/daemon/log_follower.py
@@ -50,6 +50,18 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
+    async def catch_up(self) -> bool:
+        """Read the log to its end now; return False where it is out of reach."""
+        while True:
+            next_offset = self._keeper.state.next_offset
+            match await self._platform.read(MAIN_STREAM, next_offset, 0.0):
+                case Success(page) if page.oldest <= next_offset:
+                    self._keeper.fold(page.entries)
+                    if self._keeper.state.next_offset >= page.end:
+                        return True
+                case _:
+                    return False
+
     async def _run(self) -> None:
         await self._load_snapshot()
         while True:
--- a/src/larkhoist/daemon/worker_link.py
+++ b/src/larkhoist/daemon/worker_link.py
@@ -21,7 +21,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseAnswer:
-    """Hold a worker's answer to a lease request; None where none came."""
+    """Hold a worker's answer to a lease request; None where none came.
+
+    ``epoch`` is that of the tenure in which the request left.
+    """
 
     worker: str
     epoch: int
@@ -91,7 +94,12 @@
         sent_s = asyncio.get_running_loop().time()
         task_term_s = tenure.get_task_term(self._name, sent_s)
         epoch = tenure.epoch
-        request = LeaseRequest(tenure.instance, epoch, tenure.terms.term_s, task_term_s)
+        request = LeaseRequest(
+            tenure.instance,
+            tenure.get_epoch(self._name),
+            tenure.terms.term_s,
+            task_term_s,
+        )
         tenure.note_sent(self._name, sent_s, task_term_s)
         match await self._worker.lease(request):
             case Success(reply):
@@ -107,6 +115,8 @@
         epoch = tenure.epoch
         reply = None
         if tenure.holds(self._name, asyncio.get_running_loop().time()):
-            request = CommandRequest(tenure.instance, epoch, tuple(commands))
+            request = CommandRequest(
+                tenure.instance, tenure.get_epoch(self._name), tuple(commands)
+            )
             reply = (await self._worker.command(request)).value_or(None)
         self._post(CommandAnswer(self._name, epoch, tuple(commands), reply))
--- a/src/larkhoist/ownership/tenure.py
+++ b/src/larkhoist/ownership/tenure.py
@@ -43,10 +43,12 @@
 class WorkerLease:
     """Hold one worker's lease as this instance counts it.
 
-    ``renewing_s`` is when the last request left that, granted or not heard of,
-    lets the worker's tasks go on.
+    ``epoch`` rises above the tenure's where the worker has seen a higher one or
+    has let our own lease lapse. ``renewing_s`` is when the last request left that,
+    granted or not heard of, lets the worker's tasks go on.
     """
 
+    epoch: int
     link: WorkerLink = WorkerLink.UNKNOWN
     until_s: float = 0.0
     renewing_s: float | None = None
@@ -55,7 +57,11 @@
 
 @dataclass(slots=True)
 class Tenure:
-    """Hold this instance's claim to own its data hall."""
+    """Hold this instance's claim to own its data hall.
+
+    ``instance`` names one incarnation, so that a restarted instance never takes
+    the leases of its predecessor for its own.
+    """
 
     instance: str
     terms: LeaseTerms
@@ -63,19 +69,45 @@
     seen_epoch: int = 0
     workers: dict[str, WorkerLease] = field(default_factory=dict)
     majority_since_s: float | None = None
+    tried_since_s: float | None = None
 
     def set_workers(self, names: set[str]) -> None:
         """Take over the list of the hall's workers."""
         for name in names - self.workers.keys():
-            self.workers[name] = WorkerLease()
+            self.workers[name] = WorkerLease(self.epoch)
         for name in self.workers.keys() - names:
             del self.workers[name]
 
-    def begin(self) -> None:
+    def begin(self, now_s: float) -> None:
         """Start a tenure with an epoch above every epoch seen."""
         self.epoch = max(self.seen_epoch, self.epoch) + 1
         self.majority_since_s = None
-        self.workers = {name: WorkerLease() for name in self.workers}
+        self.tried_since_s = now_s
+        self.workers = {name: WorkerLease(self.epoch) for name in self.workers}
+
+    def end(self) -> None:
+        """Stop trying; leases that are held run out by themselves."""
+        self.majority_since_s = None
+        self.tried_since_s = None
+
+    @property
+    def is_trying(self) -> bool:
+        """Tell whether leases are to be asked for and renewed."""
+        return self.tried_since_s is not None
+
+    def must_yield(self, now_s: float) -> bool:
+        """Tell whether a try has failed and must end, so that others get through.
+
+        Another owner's leases may take a whole term to lapse.
+        """
+        if self.tried_since_s is None or self.has_majority:
+            return False
+        late_s = self.terms.term_s * 2 + self.terms.renew_s
+        return now_s - self.tried_since_s > late_s
+
+    def get_epoch(self, name: str) -> int:
+        """Return the epoch under which to speak to a worker."""
+        return self.workers[name].epoch
 
     def get_task_term(self, name: str, now_s: float) -> float:
         """Return the task term to ask of a worker, 0 where it was given up."""
@@ -103,6 +135,7 @@
             lease.answered_s = sent_s
         else:
             lease.link = WorkerLink.REFUSED
+            lease.epoch = max(lease.epoch, reply.epoch + 1)
 
     def note_silence(self, name: str) -> None:
         """Note that a worker did not answer."""
--- a/src/larkhoist/scheduling/attempt.py
+++ b/src/larkhoist/scheduling/attempt.py
@@ -90,6 +90,7 @@
     sent_s: float = 0.0
     started_s: float = 0.0
     throttled: bool = False
+    may_have_run: bool = False
     code: Code = Code.JOB_FINISHED
     failed_workers: list[str] = field(default_factory=list)
 
@@ -102,12 +103,14 @@
             for index in range(len(self.members))
         ]
 
-    def recover(self, now_s: float) -> list[Effect]:
+    def recover(self, noted: bool, now_s: float) -> list[Effect]:
         """Go on from the reported states, under a new owner.
 
         An attempt that had begun to start and has every member is started to
-        the end; one that lacks a member is stopped.
+        the end; one that lacks a member is stopped. ``noted`` tells whether the
+        log says that it was placed: what is not repeatable starts only then.
         """
+        self.may_have_run = noted or self.spec.repeatable
         states = {member.state for member in self.members}
         self.started_s = now_s - max(member.elapsed_s for member in self.members)
         if states <= set(_STARTED):
@@ -229,6 +232,7 @@
         return []
 
     def _begin_start(self, now_s: float) -> list[Effect]:
+        self.may_have_run = True
         self._enter(Phase.STARTING, now_s)
         self.sent_s = now_s
         return self._send_starts()
--- a/src/larkhoist/scheduling/hall.py
+++ b/src/larkhoist/scheduling/hall.py
@@ -132,17 +132,23 @@
             if job.phase is JobPhase.ACTIVE:
                 job.current.note_idle((worker,))
 
-    def recover(self, now_s: float) -> list[Effect]:
-        """Take over what runs, once every worker is known (a settled tenure)."""
+    def recover(self, log_current: bool, now_s: float) -> list[Effect]:
+        """Take over what runs, once every worker is known (a settled tenure).
+
+        What is not repeatable waits until the log was read to its end in this
+        tenure (``log_current``): an earlier owner may have started it.
+        """
         effects: list[Effect] = []
         for job in self.jobs.values():
-            if job.phase is JobPhase.RECOVERING:
+            if job.phase is not JobPhase.RECOVERING:
+                continue
+            if log_current or job.spec.repeatable:
                 effects += self._recover_job(job, now_s)
         return effects
 
-    def forget_reports(self) -> None:
-        """Drop the reports of an earlier tenure."""
-        self._reports.clear()
+    def has_recovering(self) -> bool:
+        """Tell whether a job still waits to be taken over."""
+        return any(j.phase is JobPhase.RECOVERING for j in self.jobs.values())
 
     # What the scheduler decides.
 
@@ -197,7 +203,7 @@
             job.failures += code is Code.JOB_FAILED
             if job.failures >= self.policy.max_failures:
                 return self._end_job(job, Code.JOB_FAILED)
-        ran = code is not Code.START_INCOMPLETE and not attempt.is_checkpointed
+        ran = attempt.may_have_run and not attempt.is_checkpointed
         if ran and not job.spec.repeatable:
             return self._end_job(job, code)
         return self._requeue(job, code)
@@ -285,7 +291,8 @@
         job.firm = job.spec.guaranteed and self._fits_guarantee(job)
         places = [m.place for m in members if m.place.worker]
         self.accelerators.use(places, job.firm)
-        return job.current.recover(now_s)
+        noted = job.placed_attempt >= newest
+        return job.current.recover(noted, now_s)
 
     def _recover_absent(self, job: HallJob) -> list[Effect]:
         if job.placed_attempt < job.attempt:
--- /dev/null
+++ b/tests/promises/hall_machine.py
@@ -0,0 +1,258 @@
+"""Drive the hall scheduler against stand-in workers on a passed clock.
+
+The machine loses, doubles and delays commands, kills and freezes workers, and
+replaces the owner, in any order that hypothesis finds.
+"""
+
+from dataclasses import dataclass, field
+
+from larkhoist.log.fold import fold_batch
+from larkhoist.log.objects import CustomerSpec, JobSpec
+from larkhoist.log.records import Batch, JobClaimed, JobPut, Record
+from larkhoist.log.state import ClusterState, JobState
+from larkhoist.ownership.tenure import LeaseTerms, Tenure
+from larkhoist.ports.worker import CommandRequest, LeaseRequest, TaskCommand
+from larkhoist.scheduling.effect import Append, Send
+from larkhoist.scheduling.hall import HallScheduler, create_hall_scheduler
+from larkhoist.scheduling.policy import SchedulingPolicy
+from standins.worker import StandInWorker
+from tests.checkers.gangs import TaskEvent
+
+__all__ = ["HALL", "HallMachine", "Owner", "TERMS"]
+
+HALL = "hall"
+TERMS = LeaseTerms(
+    term_s=3.0, renew_s=1.0, task_term_s=10.0, lost_after_s=4.0, margin_s=0.5
+)
+STEP_S = 0.25
+
+
+@dataclass
+class Owner:
+    """Hold one instance that owns the hall or tries to."""
+
+    name: str
+    tenure: Tenure
+    scheduler: HallScheduler | None = None
+    frozen: bool = False
+    outbox: list[tuple[str, TaskCommand]] = field(default_factory=list)
+    renewed_s: float = -100.0
+    next_try_s: float = 0.0
+
+
+class HallMachine:
+    """Hold workers, a log and owners, and let time pass in steps."""
+
+    def __init__(self, workers: int, accelerators: int = 8, policy=None):
+        self.now_s = 100.0
+        self.policy = policy or SchedulingPolicy(patience_s=5.0, drain_s=10.0)
+        self.workers = {
+            f"w{n}": StandInWorker(f"w{n}", accelerators) for n in range(workers)
+        }
+        self.racks = {name: f"r{n // 8}" for n, name in enumerate(self.workers)}
+        self.dead: set[str] = set()
+        self.cut: set[tuple[str, str]] = set()
+        self.lose_replies: set[str] = set()
+        self.state = ClusterState()
+        self.log_down = False
+        self.pending: list[Record] = []
+        self.sizes: dict[str, int] = {}
+        self.extra: list[TaskEvent] = []
+        self.owners: list[Owner] = []
+        self.make_scheduler = create_hall_scheduler
+
+    # What happens from outside.
+
+    def put_customer(self, spec: CustomerSpec) -> None:
+        """Put a customer into force."""
+        self.state.customers[spec.name] = spec
+
+    def submit(self, spec: JobSpec) -> None:
+        """Submit a job that this hall claims."""
+        self.sizes[spec.job_id] = spec.members
+        self._append(JobPut(spec))
+        self._append(JobClaimed(spec.job_id, HALL))
+
+    def add_owner(self, name: str) -> Owner:
+        """Let an instance try for the hall."""
+        owner = Owner(name, Tenure(name, TERMS))
+        owner.tenure.set_workers(set(self.workers))
+        self.owners.append(owner)
+        return owner
+
+    def kill_worker(self, name: str) -> None:
+        """Kill a worker with all its tasks."""
+        self.dead.add(name)
+        for task in self.workers[name].tasks.values():
+            command = task.command
+            if task.state.value in ("running", "throttled"):
+                self.extra.append(
+                    TaskEvent(
+                        self.now_s,
+                        command.job_id,
+                        command.attempt,
+                        command.member,
+                        "lost",
+                    )
+                )
+        self.workers[name].tasks.clear()
+
+    def revive_worker(self, name: str) -> None:
+        """Bring a dead worker back, empty."""
+        self.dead.discard(name)
+
+    # Time.
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end_s = self.now_s + seconds
+        while self.now_s < end_s:
+            self.step()
+
+    def step(self) -> None:
+        """Let one step of time pass for everyone."""
+        self.now_s += STEP_S
+        for name, worker in self.workers.items():
+            if name not in self.dead:
+                worker.tick(self.now_s)
+        if not self.log_down:
+            pending, self.pending = self.pending, []
+            for record in pending:
+                self._fold(record)
+        for owner in self.owners:
+            if not owner.frozen:
+                self._step_owner(owner)
+
+    def get_events(self) -> list[TaskEvent]:
+        """Return all that happened to tasks."""
+        events = [
+            TaskEvent(e.at_s, e.job_id, e.attempt, e.member, e.event)
+            for worker in self.workers.values()
+            for e in worker.journal
+            if e.event != "dropped"
+        ]
+        return events + self.extra
+
+    def _append(self, record: Record) -> None:
+        if self.log_down:
+            self.pending.append(record)
+        else:
+            self._fold(record)
+
+    def _fold(self, record: Record) -> None:
+        offset = self.state.next_offset
+        at_ms = int(self.now_s * 1000)
+        fold_batch(self.state, offset, Batch("w", offset + 1, at_ms, (record,)))
+
+    def _step_owner(self, owner: Owner) -> None:
+        # What was decided before a freeze leaves after it.
+        self._send(owner)
+        tenure = owner.tenure
+        if not tenure.is_trying:
+            if self.now_s < owner.next_try_s or not self._is_candidate(owner):
+                return
+            tenure.begin(self.now_s)
+        if self.now_s - owner.renewed_s >= TERMS.renew_s:
+            owner.renewed_s = self.now_s
+            for name in self.workers:
+                self._renew(owner, name)
+        tenure.update(self.now_s)
+        if owner.scheduler is None and tenure.has_majority:
+            self._gain(owner)
+        lost = owner.scheduler is not None and not tenure.has_majority
+        outranked = owner.scheduler is None and not self._is_candidate(owner)
+        if lost or outranked or tenure.must_yield(self.now_s):
+            owner.scheduler = None
+            owner.outbox.clear()
+            tenure.end()
+            pause_s = TERMS.renew_s * (1 + self.owners.index(owner))
+            owner.next_try_s = self.now_s + pause_s
+        if owner.scheduler is not None:
+            self._schedule(owner)
+
+    def _is_candidate(self, owner: Owner) -> bool:
+        live = [other for other in self.owners if not other.frozen]
+        owned = any(o.scheduler is not None for o in live if o is not owner)
+        return not owned and live[0] is owner
+
+    def _renew(self, owner: Owner, name: str) -> None:
+        tenure = owner.tenure
+        task_term_s = tenure.get_task_term(name, self.now_s)
+        tenure.note_sent(name, self.now_s, task_term_s)
+        if name in self.dead or (owner.name, name) in self.cut:
+            tenure.note_silence(name)
+            return
+        request = LeaseRequest(
+            owner.name, tenure.get_epoch(name), TERMS.term_s, task_term_s
+        )
+        reply = self.workers[name].lease(request, self.now_s)
+        if name in self.lose_replies:
+            tenure.note_silence(name)
+            return
+        tenure.note_reply(name, self.now_s, reply)
+        if reply.granted and owner.scheduler is not None:
+            effects = owner.scheduler.note_report(name, reply.tasks, self.now_s)
+            self._take_effects(owner, effects)
+
+    def _gain(self, owner: Owner) -> None:
+        owner.scheduler = self.make_scheduler(HALL, self.policy)
+        for name, worker in self.workers.items():
+            rack = self.racks[name]
+            owner.scheduler.add_worker(name, rack, worker.accelerators)
+        self._sync(owner, recovering=True)
+
+    def _schedule(self, owner: Owner) -> None:
+        scheduler, tenure = owner.scheduler, owner.tenure
+        for name in self.workers:
+            held = tenure.holds(name, self.now_s)
+            scheduler.set_usable(name, held)
+            if not held and tenure.is_surely_idle(name, self.now_s):
+                scheduler.note_idle(name)
+        self._sync(owner, recovering=False)
+        if scheduler.has_recovering() and tenure.is_settled(self.now_s):
+            effects = scheduler.recover(not self.log_down, self.now_s)
+            self._take_effects(owner, effects)
+        self._take_effects(owner, scheduler.decide(self.now_s))
+
+    def _sync(self, owner: Owner, recovering: bool) -> None:
+        scheduler = owner.scheduler
+        scheduler.set_customers(self.state.customers)
+        for job_id, entry in self.state.jobs.items():
+            if entry.state is JobState.ENDED:
+                if job_id in scheduler.jobs:
+                    self._take_effects(owner, scheduler.note_ended(job_id))
+                continue
+            if entry.hall != HALL:
+                continue
+            if job_id not in scheduler.jobs:
+                scheduler.add_job(entry.spec, entry.attempt, self.now_s, recovering)
+            if entry.state is JobState.PLACED:
+                scheduler.note_placed(job_id, entry.attempt)
+            if entry.cancelled:
+                self._take_effects(owner, scheduler.cancel_job(job_id, self.now_s))
+
+    def _take_effects(self, owner: Owner, effects) -> None:
+        for effect in effects:
+            match effect:
+                case Send(worker, command):
+                    owner.outbox.append((worker, command))
+                case Append(record):
+                    self._append(record)
+
+    def _send(self, owner: Owner) -> None:
+        outbox, owner.outbox = owner.outbox, []
+        for name, command in outbox:
+            done = self._send_one(owner, name, command)
+            if owner.scheduler is not None:
+                owner.scheduler.note_command(command, done)
+
+    def _send_one(self, owner: Owner, name: str, command: TaskCommand) -> bool | None:
+        tenure = owner.tenure
+        unreachable = name in self.dead or (owner.name, name) in self.cut
+        if name not in self.workers or unreachable:
+            return None
+        request = CommandRequest(owner.name, tenure.get_epoch(name), (command,))
+        reply = self.workers[name].command(request, self.now_s)
+        if name in self.lose_replies:
+            return None
+        return not reply.fenced and reply.done[0]
--- /dev/null
+++ b/tests/promises/test_gangs_machine.py
@@ -0,0 +1,200 @@
+"""Promise 2 on the pure core: any interleaving of faults leaves gangs whole."""
+
+from unittest.mock import patch
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from larkhoist.log.objects import JobSpec
+from larkhoist.log.state import JobState
+from larkhoist.ownership.tenure import Tenure
+from larkhoist.ports.worker import Verb
+from larkhoist.scheduling.attempt import Attempt
+from larkhoist.scheduling.attempt import Phase as AttemptPhase
+from tests.checkers.gangs import check_gangs
+from tests.promises.hall_machine import TERMS, HallMachine
+
+WINDOW_S = TERMS.task_term_s + TERMS.lost_after_s + TERMS.term_s + 2 * TERMS.renew_s
+WORKERS = 4
+NAMES = [f"w{n}" for n in range(WORKERS)]
+JOBS = (
+    ("gang-4", 4, 8, 3.0, True),
+    ("gang-3", 3, 4, 8.0, True),
+    ("once-2", 2, 2, 5.0, False),
+    ("single", 1, 1, 2.0, True),
+)
+
+fault = st.one_of(
+    st.tuples(st.just("kill worker"), st.sampled_from(NAMES)),
+    st.tuples(st.just("revive worker"), st.sampled_from(NAMES)),
+    st.tuples(st.just("refuse prepare"), st.sampled_from(NAMES)),
+    st.tuples(st.just("drop start"), st.sampled_from(NAMES)),
+    st.tuples(st.just("lose replies"), st.sampled_from(NAMES)),
+    st.tuples(st.just("keep replies"), st.sampled_from(NAMES)),
+    st.tuples(st.just("fail tasks"), st.sampled_from(NAMES)),
+    st.tuples(st.just("cut"), st.sampled_from(NAMES)),
+    st.tuples(st.just("heal"), st.just("")),
+    st.tuples(st.just("freeze owner"), st.just("")),
+    st.tuples(st.just("thaw owners"), st.just("")),
+    st.tuples(st.just("kill owner"), st.just("")),
+    st.tuples(st.just("new owner"), st.just("")),
+    st.tuples(st.just("log down"), st.just("")),
+    st.tuples(st.just("log up"), st.just("")),
+)
+plans = st.lists(
+    st.tuples(fault, st.sampled_from((0.25, 0.5, 1.0, 4.0, 12.0))), max_size=14
+)
+
+
+def bring_about(machine, name, target, number):
+    owners = machine.owners
+    match name:
+        case "kill worker":
+            machine.kill_worker(target)
+        case "revive worker":
+            machine.revive_worker(target)
+        case "refuse prepare":
+            machine.workers[target].faults.refuse_prepare += 1
+        case "drop start":
+            machine.workers[target].faults.drop_starts += 8
+        case "lose replies":
+            machine.lose_replies.add(target)
+        case "keep replies":
+            machine.lose_replies.discard(target)
+        case "fail tasks":
+            machine.workers[target].faults.fail_tasks ^= True
+        case "cut":
+            machine.cut |= {(owner.name, target) for owner in owners}
+        case "heal":
+            machine.cut.clear()
+        case "freeze owner" if owners:
+            owners[0].frozen = True
+        case "thaw owners":
+            for owner in owners:
+                owner.frozen = False
+        case "kill owner" if owners:
+            owners.pop(0)
+        case "new owner":
+            machine.add_owner(f"owner-{number}")
+        case "log down":
+            machine.log_down = True
+        case "log up":
+            machine.log_down = False
+
+
+def run_plan(plan, counts=None):
+    machine = HallMachine(WORKERS)
+    machine.add_owner("owner")
+    for job_id, members, accelerators, run_s, repeatable in JOBS:
+        machine.submit(
+            JobSpec(
+                job_id,
+                "c",
+                members,
+                accelerators,
+                "rack",
+                declared_s=run_s,
+                payload=f"run_s={run_s}",
+                repeatable=repeatable,
+            )
+        )
+    for number, ((name, target), wait_s) in enumerate(plan):
+        bring_about(machine, name, target, number)
+        if counts is not None:
+            counts[name] += 1
+        machine.run(wait_s)
+    return machine
+
+
+def heal(machine):
+    machine.log_down = False
+    machine.cut.clear()
+    machine.lose_replies.clear()
+    for name, worker in machine.workers.items():
+        machine.revive_worker(name)
+        worker.faults.fail_tasks = False
+        worker.faults.refuse_prepare = worker.faults.drop_starts = 0
+    for owner in machine.owners:
+        owner.frozen = False
+    machine.add_owner("healer")
+    machine.run(150.0)
+
+
+def check(machine):
+    return check_gangs(machine.get_events(), machine.sizes, WINDOW_S, machine.now_s)
+
+
+def count_runs(machine, job_id):
+    events = machine.get_events()
+    return len(
+        {e.attempt for e in events if e.job_id == job_id and e.event == "running"}
+    )
+
+
+@pytest.mark.promise(2)
+@settings(
+    max_examples=150,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+    phases=(Phase.explicit, Phase.generate, Phase.shrink),
+)
+@given(plan=plans)
+def test_gangs_run_whole_through_any_faults(evidence, plan):
+    machine = run_plan(plan, evidence.faults)
+    heal(machine)
+    violations = check(machine)
+    evidence.operations += len(machine.get_events())
+    evidence.violations += len(violations)
+    assert violations == []
+    assert count_runs(machine, "once-2") <= 1
+    assert all(job.state is JobState.ENDED for job in machine.state.jobs.values())
+
+
+def start_with_prepare(self, now_s):
+    """Ask each member to start right behind its prepare."""
+    self._enter(AttemptPhase.PREPARING, now_s)
+    return [
+        self._make_command(index, verb)
+        for index in range(len(self.members))
+        for verb in (Verb.PREPARE, Verb.START)
+    ]
+
+
+@pytest.mark.promise(2)
+def test_partial_gang_without_the_barrier(evidence):
+    with patch.object(Attempt, "begin", start_with_prepare):
+        machine = run_plan([(("refuse prepare", "w2"), 30.0)])
+    violations = check(machine)
+    evidence.violations_without += len(violations)
+    assert any("prepared" in violation.what for violation in violations)
+
+
+@pytest.mark.promise(2)
+def test_partial_gang_without_stopping_the_rest(evidence):
+    with patch.object(Attempt, "_stop_for_failure", lambda *_: []):
+        machine = run_plan([(("log up", ""), 1.5), (("kill worker", "w3"), 40.0)])
+        # The survivors run to their end in part, over the window where long.
+        machine.submit(JobSpec("long", "c", 3, 8, "rack", payload="run_s=60"))
+        machine.run(2.0)
+        machine.kill_worker("w1")
+        machine.run(40.0)
+    violations = check(machine)
+    evidence.violations_without += len(violations)
+    assert any("in part" in violation.what for violation in violations)
+
+
+@pytest.mark.promise(2)
+def test_two_attempts_at_once_without_waiting_for_idle(evidence):
+    with patch.object(Tenure, "is_surely_idle", lambda *_: True):
+        machine = HallMachine(WORKERS)
+        machine.add_owner("owner")
+        machine.submit(JobSpec("j", "c", 2, 8, "rack", payload="run_s=30"))
+        machine.run(3.0)
+        job = machine.owners[0].scheduler.jobs["j"]
+        machine.cut.add(("owner", job.current.members[0].place.worker))
+        machine.run(40.0)
+    violations = check(machine)
+    evidence.violations_without += len(violations)
+    assert any("another attempt" in violation.what for violation in violations)
