Measure placement, routing, costs and the path; let scheduling cost less

Cause: no figure stood for the two things that users measure, nor for costs.

Change: only attempts that something was heard of are stepped, reports look up the jobs of their worker, waiting jobs are looked at on a change or once a second. Spans that nobody reads are not recorded, a summary became a histogram, the newest customer change is kept instead of searched for, and two requests more than slots may wait at a runner.

Ruled out: ordering by response ratio (highest first).

--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the decisions against plain baselines, and what they cost."""
--- /dev/null
+++ b/measure/__main__.py
@@ -0,0 +1,29 @@
+"""Print every figure; ``--only`` picks one part."""
+
+import argparse
+
+from measure.costs import print_costs
+from measure.path import print_path
+from measure.placement import print_placement
+from measure.routing import print_routing
+
+PARTS = {
+    "placement": print_placement,
+    "routing": print_routing,
+    "costs": print_costs,
+    "path": print_path,
+}
+
+
+def main() -> None:
+    """Print the chosen parts, or all."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--only", choices=sorted(PARTS))
+    chosen = parser.parse_args().only
+    for name, print_part in PARTS.items():
+        if chosen in (None, name):
+            print_part()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/larkhoist/daemon/hall_owner.py
+++ b/src/larkhoist/daemon/hall_owner.py
@@ -316,7 +316,7 @@
             return
         self.tenure.note_reply(worker, sent_s, reply)
         if reply.granted and self.scheduler is not None:
-            effects = self.scheduler.note_report(worker, reply.tasks, now_s)
+            effects = self.scheduler.note_report(worker, reply.tasks)
             self._carry_out(effects, now_s)
 
     def _take_commands(self, answer: CommandAnswer) -> None:
--- a/src/larkhoist/daemon/metrics.py
+++ b/src/larkhoist/daemon/metrics.py
@@ -2,11 +2,13 @@
 
 import resource
 
-from aioprometheus import Counter, Gauge, Registry, Summary
+from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
 __all__ = ["Metrics", "create_metrics"]
 
+LATENCY_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0]
+
 
 class Metrics:
     """Hold the metrics of one instance; each has a method that says its meaning."""
@@ -16,8 +18,11 @@
         self._requests = self._add(
             Counter, "larkhoist_requests_total", "Requests ended, by result code"
         )
-        self._latency = self._add(
-            Summary, "larkhoist_request_seconds", "Seconds from request to answer"
+        self._latency = Histogram(
+            "larkhoist_request_seconds",
+            "Seconds from request to answer",
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
         )
         self._gauges: dict[str, Gauge] = {}
         for name, text in (
--- a/src/larkhoist/daemon/tracing.py
+++ b/src/larkhoist/daemon/tracing.py
@@ -11,6 +11,7 @@
     SpanExporter,
     SpanExportResult,
 )
+from opentelemetry.sdk.trace.sampling import ALWAYS_OFF, ALWAYS_ON
 from opentelemetry.trace import Span, Tracer
 from opentelemetry.trace.propagation.tracecontext import TraceContextTextMapPropagator
 
@@ -43,7 +44,8 @@
 
 def create_tracer(log_spans: bool) -> Tracer:
     """Return a tracer; its spans go to the log where ``log_spans`` is set."""
-    provider = TracerProvider()
+    # Spans that nobody reads are not recorded; their ids are still passed on.
+    provider = TracerProvider(sampler=ALWAYS_ON if log_spans else ALWAYS_OFF)
     if log_spans:
         provider.add_span_processor(SimpleSpanProcessor(_LogExporter()))
     return provider.get_tracer("larkhoist")
--- a/src/larkhoist/log/fold.py
+++ b/src/larkhoist/log/fold.py
@@ -149,6 +149,8 @@
         _apply_change(state, change)
         version = ObjectVersion(state.revision, plan_id)
         state.versions[get_object_key(change)] = version
+        if isinstance(change, CustomerPut | CustomerRemoved):
+            state.customers_version = version
     outcome = ConfirmOutcome(Code.ACCEPTED, state.revision, state.log_ms)
     state.confirms[plan_id] = outcome
 
@@ -161,21 +163,12 @@
         # A guarantee is checked against all the others, so that any change to
         # a customer since the base makes the check of this plan worthless.
         if isinstance(change, CustomerPut):
-            newest = _find_newest_customer_change(state)
+            newest = state.customers_version
             if newest is not None and newest.revision > plan.base_revision:
                 return newest
     return None
 
 
-def _find_newest_customer_change(state: ClusterState) -> ObjectVersion | None:
-    versions = [
-        version
-        for name, version in state.versions.items()
-        if name.startswith("customer/")
-    ]
-    return max(versions, key=lambda version: version.revision, default=None)
-
-
 def _apply_change(state: ClusterState, change: Change) -> None:
     match change:
         case CustomerPut(spec):
--- a/src/larkhoist/log/state.py
+++ b/src/larkhoist/log/state.py
@@ -88,6 +88,7 @@
     customers: dict[str, CustomerSpec] = {}
     services: dict[str, ServiceSpec] = {}
     versions: dict[str, ObjectVersion] = {}
+    customers_version: ObjectVersion | None = None
     plans: dict[str, PlanProposed] = {}
     plan_times: dict[str, int] = {}
     confirms: dict[str, ConfirmOutcome] = {}
--- a/src/larkhoist/placement/fragmentation.py
+++ b/src/larkhoist/placement/fragmentation.py
@@ -1,4 +1,8 @@
-"""Measure how much of the free accelerators the expected shapes cannot use."""
+"""Measure how much of the free accelerators lies too scattered to be used.
+
+For each expected shape the accelerators that gangs of it could fill as they lie are
+compared with those that they could fill if all the free ones lay together.
+"""
 
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -29,16 +33,16 @@
 
 
 def get_fragmentation(index: FreeIndex, mix: Sequence[ExpectedShape]) -> float:
-    """Return the share of free accelerators that the mix cannot use, 0 to 1.
+    """Return the share of the usable accelerators lost to scatter, 0 to 1.
 
-    For each shape the accelerators that gangs of it could fill are counted; the
-    shares are weighed together. Nothing free counts as no fragmentation.
+    The shapes are weighed together. Where not even all free accelerators together
+    would hold any shape there is nothing to lose, and the result is 0.
     """
-    if index.free_total == 0:
+    possible = sum(shape.weight * _count_possible(index, shape) for shape in mix)
+    if possible == 0:
         return 0.0
-    weight = sum(shape.weight for shape in mix)
     usable = sum(shape.weight * _count_usable(index, shape) for shape in mix)
-    return max(0.0, 1.0 - usable / weight / index.free_total)
+    return max(0.0, 1.0 - usable / possible)
 
 
 def get_largest_block(index: FreeIndex, worker_size: int) -> int:
@@ -51,6 +55,11 @@
     return 0
 
 
+def _count_possible(index: FreeIndex, shape: ExpectedShape) -> int:
+    total = shape.members * shape.accelerators
+    return index.free_total // total * total
+
+
 def _count_usable(index: FreeIndex, shape: ExpectedShape) -> int:
     if shape.adjacency == "worker":
         level = get_level(shape.members * shape.accelerators)
--- a/src/larkhoist/placement/index.py
+++ b/src/larkhoist/placement/index.py
@@ -1,7 +1,9 @@
 """Find free accelerators for gangs without looking at every worker.
 
 Racks are kept in order of how many free blocks of each size they hold, and
-workers in order of their largest free block. Changes mark a rack or a worker,
+workers in order of their largest free block, those in racks with the fewest wholly
+free workers first, so that single tasks keep away from racks that a gang could use.
+Changes mark a rack or a worker,
 and the orders are brought up to date when the next gang is looked for.
 """
 
@@ -43,6 +45,7 @@
 class _Rack:
     name: str
     workers: dict[str, _Worker] = field(default_factory=dict)
+    whole: int = 0
     blocks: list[int] = field(default_factory=lambda: [0] * (MAX_LEVEL + 1))
     listed: list[int] = field(default_factory=lambda: [0] * (MAX_LEVEL + 1))
 
@@ -107,6 +110,11 @@
         for level in range(get_level(worker.size) + 1):
             change = count_blocks(free, level) - count_blocks(before, level)
             rack.blocks[level] += change
+        full = make_mask(worker.size)
+        if (free == full) != (before == full):
+            rack.whole += 1 if free == full else -1
+            # The order of a rack's workers depends on its whole ones.
+            self._changed_workers.update(rack.workers)
         worker.free = free
         self.free_total += free.bit_count() - before.bit_count()
         self._changed_racks.add(rack.name)
@@ -230,7 +238,8 @@
             worker.listed = None
         level = get_largest_level(worker.free)
         if level >= 0:
-            key = (worker.free.bit_count(), worker.rack, worker.name)
+            whole = self._racks[worker.rack].whole
+            key = (whole, worker.free.bit_count(), worker.rack, worker.name)
             self._worker_order[level].add(key)
             worker.listed = (level, key)
 
--- a/src/larkhoist/requests/policy.py
+++ b/src/larkhoist/requests/policy.py
@@ -10,10 +10,13 @@
     """Hold the request policy of one instance; times are in seconds.
 
     ``pack_share`` is the share of an upstream's slots up to which requests are
-    packed onto the fullest upstream; 0 spreads them.
+    packed onto the fullest upstream; 0 spreads them. ``overcommit`` requests more
+    than an upstream has slots may wait at it, so that a slot that gets free is
+    used before the news of it has come.
     """
 
     pack_share: float = 0.75
+    overcommit: int = 2
     max_queue: int = 1000
     max_customer_queue: int = 500
     retry_ratio: float = 0.1
--- a/src/larkhoist/requests/upstream_set.py
+++ b/src/larkhoist/requests/upstream_set.py
@@ -166,6 +166,8 @@
         if upstream.leaving or upstream.name in self._ejected:
             return 0
         limit = min(upstream.slots, upstream.ceiling)
+        if limit == upstream.slots:
+            limit += self._policy.overcommit
         age_s = now_s - upstream.began_s
         if age_s >= self._policy.slow_start_s:
             self._starting.discard(upstream.name)
--- a/src/larkhoist/scheduling/attempt.py
+++ b/src/larkhoist/scheduling/attempt.py
@@ -142,9 +142,7 @@
             case _:
                 pass
 
-    def note_reports(
-        self, worker: str, tasks: dict[int, TaskReport], now_s: float
-    ) -> None:
+    def note_reports(self, worker: str, tasks: dict[int, TaskReport]) -> None:
         """Take a worker's full report of this attempt's members on it."""
         for index, member in enumerate(self.members):
             if member.place.worker != worker or member.state in _OVER:
--- a/src/larkhoist/scheduling/hall.py
+++ b/src/larkhoist/scheduling/hall.py
@@ -32,6 +32,8 @@
 
 __all__ = ["HallScheduler", "create_hall_scheduler"]
 
+LOOK_INTERVAL_S = 1.0
+SINGLE_PATIENCE = 10.0
 _ACTIVE_TASKS = (TaskState.PREPARED, TaskState.RUNNING, TaskState.THROTTLED)
 
 
@@ -47,6 +49,10 @@
         self.learner = RuntimeLearner()
         self.quarantine = Quarantine()
         self._reports: dict[str, tuple[TaskReport, ...]] = {}
+        self._on_worker: dict[str, set[str]] = defaultdict(set)
+        self._touched: set[str] = set()
+        self._waiting: set[str] = set()
+        self._look_s = float("-inf")
         self._usable: dict[str, bool] = {}
 
     # What the scheduler is told.
@@ -65,6 +71,8 @@
 
     def set_usable(self, name: str, usable: bool) -> None:
         """Let new work go to a worker, or keep it away."""
+        if self._usable[name] != usable:
+            self._look_s = float("-inf")
         self._usable[name] = usable
         self.accelerators.set_usable(name, usable)
 
@@ -78,6 +86,8 @@
         """Take a job into the hall; ``recovering`` where it may run already."""
         phase = JobPhase.RECOVERING if recovering else JobPhase.WAITING
         self.jobs[spec.job_id] = HallJob(spec, now_s, attempt, phase)
+        if phase is JobPhase.WAITING:
+            self._note_waiting(spec.job_id)
 
     def cancel_job(self, job_id: str, now_s: float) -> list[Effect]:
         """End a job on its customer's wish."""
@@ -88,6 +98,7 @@
         if job.phase is JobPhase.WAITING:
             return self._end_job(job, Code.JOB_CANCELLED)
         if job.phase is JobPhase.ACTIVE:
+            self._touched.add(job_id)
             return job.current.stop(Code.JOB_CANCELLED, now_s)
         return []
 
@@ -95,6 +106,7 @@
         """Note that the log says that an attempt was placed."""
         if job_id in self.jobs:
             self.jobs[job_id].placed_attempt = attempt
+            self._touched.add(job_id)
 
     def note_ended(self, job_id: str) -> list[Effect]:
         """Note that the log says that a job has ended; drop it."""
@@ -110,27 +122,27 @@
         if job is None or job.current is None:
             return
         if job.current.number == command.attempt:
+            self._touched.add(command.job_id)
             job.current.note_command(command.member, command.verb, done)
 
-    def note_report(
-        self, worker: str, tasks: tuple[TaskReport, ...], now_s: float
-    ) -> list[Effect]:
+    def note_report(self, worker: str, tasks: tuple[TaskReport, ...]) -> list[Effect]:
         """Take a worker's full report; return what to do about stray tasks."""
         self._reports[worker] = tasks
         by_attempt: dict[tuple[str, int], dict[int, TaskReport]] = defaultdict(dict)
         for task in tasks:
             by_attempt[(task.job_id, task.attempt)][task.member] = task
-        for job in self.jobs.values():
-            if job.phase is JobPhase.ACTIVE:
-                found = by_attempt.pop((job.spec.job_id, job.current.number), {})
-                job.current.note_reports(worker, found, now_s)
+        for job_id in self._on_worker[worker]:
+            attempt = self.jobs[job_id].current
+            found = by_attempt.pop((job_id, attempt.number), {})
+            attempt.note_reports(worker, found)
+            self._touched.add(job_id)
         return self._clear_strays(worker, by_attempt)
 
     def note_idle(self, worker: str) -> None:
         """Note that a worker has surely stopped everything."""
-        for job in self.jobs.values():
-            if job.phase is JobPhase.ACTIVE:
-                job.current.note_idle((worker,))
+        for job_id in self._on_worker[worker]:
+            self.jobs[job_id].current.note_idle((worker,))
+            self._touched.add(job_id)
 
     def recover(self, log_current: bool, now_s: float) -> list[Effect]:
         """Take over what runs, once every worker is known (a settled tenure).
@@ -156,14 +168,25 @@
         """Move every attempt on and place what can be placed."""
         self._apply_quarantine(now_s)
         effects: list[Effect] = []
-        for job in list(self.jobs.values()):
-            if job.phase is not JobPhase.ACTIVE:
-                continue
-            noted = job.placed_attempt >= job.current.number
-            effects += job.current.step(now_s, noted)
-            if job.current.phase is Phase.ENDED:
-                effects += self._conclude(job, now_s)
-        return effects + self._place_waiting(now_s)
+        # A running attempt has nothing to do until something is heard of it.
+        touched, self._touched = self._touched, set()
+        for job_id in sorted(touched):
+            effects += self._step_job(job_id, now_s)
+        if self._waiting and now_s >= self._look_s:
+            effects += self._place_waiting(now_s)
+        return effects
+
+    def _step_job(self, job_id: str, now_s: float) -> list[Effect]:
+        job = self.jobs.get(job_id)
+        if job is None or job.phase is not JobPhase.ACTIVE:
+            return []
+        noted = job.placed_attempt >= job.current.number
+        effects = job.current.step(now_s, noted)
+        if job.current.phase is Phase.ENDED:
+            return effects + self._conclude(job, now_s)
+        if job.current.phase is not Phase.RUNNING:
+            self._touched.add(job_id)
+        return effects
 
     def explain(self, job_id: str, now_s: float) -> str:
         """Return in one sentence why a job waits or where it runs."""
@@ -216,11 +239,13 @@
         job.current = None
         job.attempt += 1
         job.phase = JobPhase.WAITING
+        self._note_waiting(job.spec.job_id)
         job.code = code
         return effects
 
     def _end_job(self, job: HallJob, code: Code) -> list[Effect]:
         self._drop_claims(job)
+        self._waiting.discard(job.spec.job_id)
         job.phase = JobPhase.ENDING
         job.code = code
         record = JobFinished(job.spec.job_id, self.hall, job.attempt, code)
@@ -239,7 +264,11 @@
     def _release(self, job: HallJob) -> None:
         if job.current is not None and job.phase is JobPhase.ACTIVE:
             self.accelerators.release(job.current.get_places())
+            for place in job.current.get_places():
+                self._on_worker[place.worker].discard(job.spec.job_id)
+        self._waiting.discard(job.spec.job_id)
         self._drop_claims(job)
+        self._look_s = float("-inf")
 
     def _drop_claims(self, job: HallJob) -> None:
         self.accelerators.drop_hold(job.held)
@@ -249,6 +278,17 @@
             job.reservation = None
         job.firm = False
 
+    def _note_waiting(self, job_id: str) -> None:
+        self._waiting.add(job_id)
+        self._look_s = float("-inf")
+
+    def _note_active(self, job: HallJob) -> None:
+        job.phase = JobPhase.ACTIVE
+        self._waiting.discard(job.spec.job_id)
+        self._touched.add(job.spec.job_id)
+        for place in job.current.get_places():
+            self._on_worker[place.worker].add(job.spec.job_id)
+
     def _apply_quarantine(self, now_s: float) -> None:
         for name, usable in self._usable.items():
             kept_out = self.quarantine.holds(name, now_s)
@@ -287,7 +327,7 @@
         job.current = Attempt(
             job.spec, self.hall, newest, members, self.policy.times, changed_s=now_s
         )
-        job.phase = JobPhase.ACTIVE
+        self._note_active(job)
         job.firm = job.spec.guaranteed and self._fits_guarantee(job)
         places = [m.place for m in members if m.place.worker]
         self.accelerators.use(places, job.firm)
@@ -297,6 +337,7 @@
     def _recover_absent(self, job: HallJob) -> list[Effect]:
         if job.placed_attempt < job.attempt:
             job.phase = JobPhase.WAITING
+            self._note_waiting(job.spec.job_id)
             return []
         if not job.spec.repeatable:
             return self._end_job(job, Code.MEMBER_LOST)
@@ -322,10 +363,9 @@
     # Placement.
 
     def _place_waiting(self, now_s: float) -> list[Effect]:
-        waiting = [j for j in self.jobs.values() if j.phase is JobPhase.WAITING]
-        if not waiting:
-            return []
-        waiting.sort(key=lambda job: get_queue_key(job, self._expect(job.spec), now_s))
+        self._look_s = now_s + LOOK_INTERVAL_S
+        waiting = [self.jobs[job_id] for job_id in self._waiting]
+        waiting.sort(key=lambda job: get_queue_key(job, now_s))
         effects: list[Effect] = []
         failed: set[tuple[int, int, str]] = set()
         for job in waiting:
@@ -384,7 +424,7 @@
         job.current = Attempt(
             job.spec, self.hall, job.attempt, members, self.policy.times
         )
-        job.phase = JobPhase.ACTIVE
+        self._note_active(job)
         self.accelerators.use(places, firm)
         return job.current.begin(now_s)
 
@@ -488,6 +528,7 @@
             attempt = self.jobs[job_id].current
             if attempt.phase not in (Phase.RECLAIMING, Phase.STOPPING, Phase.ENDED):
                 effects += attempt.reclaim(now_s)
+                self._touched.add(job_id)
         return effects
 
     def _place_held(self, job: HallJob, now_s: float) -> list[Effect]:
@@ -505,7 +546,10 @@
     def _reserve_for(self, job: HallJob, now_s: float) -> list[Effect]:
         if job.reservation is not None:
             return self._drain_reservation(job, now_s)
-        if job.spec.total == 1 or now_s - job.submitted_s < self.policy.patience_s:
+        patience_s = self.policy.patience_s
+        if job.spec.members == 1:
+            patience_s *= SINGLE_PATIENCE
+        if now_s - job.submitted_s < patience_s:
             return []
         reserved = [
             name
--- a/src/larkhoist/scheduling/quarantine.py
+++ b/src/larkhoist/scheduling/quarantine.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["Quarantine"]
+__all__ = ["FAILURES_TO_QUARANTINE", "Quarantine"]
 
 FAILURES_TO_QUARANTINE = 3
 JOBS_TO_QUARANTINE = 2
--- a/tests/promises/hall_machine.py
+++ b/tests/promises/hall_machine.py
@@ -191,7 +191,7 @@
             return
         tenure.note_reply(name, self.now_s, reply)
         if reply.granted and owner.scheduler is not None:
-            effects = owner.scheduler.note_report(name, reply.tasks, self.now_s)
+            effects = owner.scheduler.note_report(name, reply.tasks)
             self._take_effects(owner, effects)
 
     def _gain(self, owner: Owner) -> None:
