--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -94,7 +94,7 @@
     async def start(self) -> None:
         """Start every process and wait until the instances are ready."""
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
             timeout=aiohttp.ClientTimeout(total=60),
         )
         platform = await self._start_stand_in("platform", [])
@@ -129,6 +129,16 @@
         self.processes[name].kill()
         await self.processes[name].handle.wait()
 
+    async def stop(self, name: str) -> None:
+        """Ask a process to stop and wait until it has."""
+        handle = self.processes[name].handle
+        handle.terminate()
+        try:
+            await asyncio.wait_for(handle.wait(), STOP_TIMEOUT_S)
+        except TimeoutError:
+            log = self.read_log(name)[-4000:]
+            raise ProcessError(f"{name} did not stop\n{log}") from None
+
     # Names and addresses.
 
     def get_instances(self, hall: str) -> list[str]:
@@ -277,6 +287,10 @@
         """Return the URL of a path at a process."""
         return f"http://{self.addresses[name]}{path}"
 
+    async def cut_from_platform(self, *names: str) -> None:
+        """Cut instances off from the platform; no name heals all."""
+        await self.post("platform", "/cut", list(names))
+
     async def post(self, name: str, path: str, data=None, headers=None) -> "Answer":
         """Post JSON to a process."""
         async with self.session.post(
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 
+from measure.control import print_control
 from measure.costs import print_costs
 from measure.path import print_path
 from measure.placement import print_placement
@@ -12,6 +13,7 @@
     "routing": print_routing,
     "costs": print_costs,
     "path": print_path,
+    "control": print_control,
 }
 
 
--- a/measure/costs.py
+++ b/measure/costs.py
@@ -258,6 +258,8 @@
         print(f"  lease request and reply with {tasks} tasks: {size}")
     for upstreams in (0, 24):
         load = {f"hall-a-runner-{n}": 5 for n in range(upstreams)}
-        gossip = Gossip("i", "h", 10**6, 1000, True, False, 3, load, load, 77)
+        gossip = Gossip(
+            "i", "h", "10.0.0.1:9000", 10**6, 1000, True, False, 3, load, load, 77
+        )
         size = len(encode_message(gossip))
         print(f"  gossip with {upstreams} upstreams: {size}")
--- a/measure/placement.py
+++ b/measure/placement.py
@@ -30,7 +30,8 @@
         print(
             f"  {'way':<10} {'small p50':>9} {'p99':>6} {'max':>6} {'gang p99':>9} "
             f"{'largest p50':>11} {'p99':>6} {'max':>6} {'claim max':>9} "
-            f"{'frag':>6} {'block':>6} {'lost':>6} {'moved':>6} {'broken':>6} {'open':>5}"
+            f"{'frag':>6} {'block':>6} {'lost':>6} {'moved':>6} "
+            f"{'broken':>6} {'open':>5}"
         )
         for name, results in _run_all(seeds, policy, load, end_s):
             print(f"  {name:<10} {_format(results, load, end_s)}")
--- a/src/larkhoist/border/settings.py
+++ b/src/larkhoist/border/settings.py
@@ -9,6 +9,7 @@
 Positive = Annotated[float, Field(gt=0)]
 PositiveCount = Annotated[int, Field(gt=0)]
 IpAddress = Annotated[str, Field(pattern=r"^(\d{1,3}\.){3}\d{1,3}$|^[0-9a-fA-F:]+$")]
+PeerAddress = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")]
 Port = Annotated[int, Field(ge=0, le=65535)]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 
@@ -73,12 +74,17 @@
 
 
 class DaemonSettings(_Model):
-    """Hold the settings of one instance."""
+    """Hold the settings of one instance.
+
+    ``seed_peers`` are peer links of the hall, each an IP number with a port, for a
+    start while the platform's list is out of reach.
+    """
 
     instance: Name
     hall: Name
     platform_url: Annotated[str, Field(pattern=r"^https?://[0-9a-fA-F.:\[\]]+$")]
     listen: ListenSettings
+    seed_peers: Annotated[list[PeerAddress], Field(max_length=64)] = []
     timing: TimingSettings = TimingSettings()
     limits: LimitSettings = LimitSettings()
     policy: PolicySettings = PolicySettings()
--- a/src/larkhoist/daemon/entry.py
+++ b/src/larkhoist/daemon/entry.py
@@ -16,6 +16,7 @@
 from larkhoist.daemon.metrics import Metrics
 from larkhoist.daemon.replies import make_problem_response
 from larkhoist.daemon.state_keeper import StateKeeper
+from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.daemon.tracing import get_parent, get_trace_id, get_trace_parent
 from larkhoist.log.fold import get_claim
 from larkhoist.log.objects import ServiceSpec
@@ -111,9 +112,7 @@
 
     async def close(self) -> None:
         """Stop the task; requests must have ended before."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_tasks([self._task])
 
     async def drain(self, timeout_s: float) -> bool:
         """Wait until no request is under way; return False at the time-out."""
--- a/src/larkhoist/daemon/hall_owner.py
+++ b/src/larkhoist/daemon/hall_owner.py
@@ -12,6 +12,7 @@
 from larkhoist.daemon.log_writer import LogWriter
 from larkhoist.daemon.logs import log_event
 from larkhoist.daemon.state_keeper import StateKeeper
+from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.daemon.worker_link import CommandAnswer, LeaseAnswer, WorkerLinkTask
 from larkhoist.log.plan import make_hall_indexes
 from larkhoist.log.records import JobClaimed
@@ -83,9 +84,7 @@
 
     async def close(self) -> None:
         """Give the hall up and close every connection."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_tasks([self._task, self._catching_up])
         await self._close_links()
         if self._session is not None:
             await self._session.close()
--- a/src/larkhoist/daemon/instance.py
+++ b/src/larkhoist/daemon/instance.py
@@ -21,6 +21,7 @@
 from larkhoist.daemon.peer_link import PeerLink
 from larkhoist.daemon.snapshot_writer import SnapshotWriter
 from larkhoist.daemon.state_keeper import StateKeeper
+from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.daemon.tracing import create_tracer
 from larkhoist.daemon.views import HallView, StatusView
 from larkhoist.membership.peers import Gossip, PeerTable
@@ -40,6 +41,7 @@
 NOT_READY_RETRY_S = 1.0
 DRAINING_RETRY_S = 1.0
 FLUSH_S = 2.0
+HANDLER_SHUTDOWN_S = 1.0
 
 
 class DaemonInstance:
@@ -114,9 +116,11 @@
 
     async def start(self) -> None:
         """Start every task and listen."""
+        settings = self._settings
         await self._platform.start()
         await self._upstream.start()
         await self._peers.start()
+        self._peers.set_peers(dict.fromkeys(settings.seed_peers, settings.hall))
         await self._lists.start()
         await self._follower.start()
         await self._writer.start()
@@ -144,8 +148,7 @@
         finished = await self._entry.drain(timing.drain_s)
         await self._writer.flush(FLUSH_S)
         await self._runner.cleanup()
-        self._load_task.cancel()
-        await asyncio.gather(self._load_task, return_exceptions=True)
+        await cancel_tasks([self._load_task])
         for task in (
             self._entry,
             self._owner,
@@ -178,7 +181,7 @@
             handler_cancellation=True,
             max_line_size=limits.max_header_bytes,
             max_field_size=limits.max_header_bytes,
-            shutdown_timeout=1.0,
+            shutdown_timeout=HANDLER_SHUTDOWN_S,
         )
         await self._runner.setup()
         site = web.TCPSite(
@@ -222,10 +225,11 @@
     # What goes to and comes from the peers.
 
     def _make_gossip(self) -> Gossip:
-        state = self._keeper.state
+        state, listen = self._keeper.state, self._settings.listen
         return Gossip(
             instance=self._settings.instance,
             hall=self._settings.hall,
+            address=f"{listen.address}:{listen.peer_port}",
             next_offset=state.next_offset,
             revision=state.revision,
             ready=self._ready,
--- a/src/larkhoist/daemon/list_poller.py
+++ b/src/larkhoist/daemon/list_poller.py
@@ -7,6 +7,7 @@
 from returns.result import Success
 
 from larkhoist.daemon.logs import log_event
+from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.ports.platform import InstanceList, PlatformPort
 
 __all__ = ["ListPoller"]
@@ -30,9 +31,7 @@
 
     async def close(self) -> None:
         """Stop polling."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_tasks([self._task])
 
     def take(self, listed: InstanceList) -> None:
         """Take a list over where it is newer than the one held."""
--- a/src/larkhoist/daemon/log_follower.py
+++ b/src/larkhoist/daemon/log_follower.py
@@ -8,6 +8,7 @@
 from larkhoist.daemon.logs import log_event
 from larkhoist.daemon.peer_link import PeerLink
 from larkhoist.daemon.state_keeper import StateKeeper
+from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.log.snapshot import SnapshotAssembler, decode_part
 from larkhoist.ports.platform import (
     MAIN_STREAM,
@@ -46,9 +47,7 @@
 
     async def close(self) -> None:
         """Stop following."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_tasks([self._task])
 
     async def catch_up(self) -> bool:
         """Read the log to its end now; return False where it is out of reach."""
--- a/src/larkhoist/daemon/log_writer.py
+++ b/src/larkhoist/daemon/log_writer.py
@@ -11,6 +11,7 @@
 from larkhoist.codes import Code
 from larkhoist.daemon.logs import log_event
 from larkhoist.daemon.metrics import Metrics
+from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.log.commit import AppendBudget, CommitQueue
 from larkhoist.log.records import Record, encode_batch
 from larkhoist.ports.platform import MAIN_STREAM, PlatformPort
@@ -51,9 +52,7 @@
 
     async def close(self) -> None:
         """Stop appending; what waits is lost, and its callers are told."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_tasks([self._task])
 
     async def flush(self, timeout_s: float) -> None:
         """Wait until nothing waits any more, or for the time-out."""
--- a/src/larkhoist/daemon/peer_link.py
+++ b/src/larkhoist/daemon/peer_link.py
@@ -11,6 +11,7 @@
 from larkhoist.daemon.list_poller import ListPoller
 from larkhoist.daemon.logs import log_event
 from larkhoist.daemon.state_keeper import StateKeeper
+from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.membership.peers import (
     Gossip,
     ListReply,
@@ -29,6 +30,7 @@
 ANSWER_TIMEOUT_S = 0.5
 SERVERS = 4
 TAIL_LIMIT = 500
+MAX_LEARNED = 64
 RECEIVE_MAX_BYTES = 256 * 1024 * 1024
 REMOTE_PEERS_PER_ROUND = 2
 
@@ -74,9 +76,7 @@
 
     async def close(self) -> None:
         """Stop the rounds and close every socket."""
-        for task in (*self._tasks, *self._calls):
-            task.cancel()
-        await asyncio.gather(*self._tasks, *self._calls, return_exceptions=True)
+        await cancel_tasks([*self._tasks, *self._calls])
         for socket in self._sockets.values():
             socket.close()
         if self._server is not None:
@@ -87,11 +87,14 @@
         for address in self._sockets.keys() - peers.keys():
             self._sockets.pop(address).close()
         for address in peers.keys() - self._sockets.keys():
-            socket = pynng.Req0(recv_max_size=RECEIVE_MAX_BYTES, resend_time=-1)
-            socket.dial(f"tcp://{address}", block=False)
-            self._sockets[address] = socket
+            self._dial(address)
         self._halls = dict(peers)
 
+    def _dial(self, address: str) -> None:
+        socket = pynng.Req0(recv_max_size=RECEIVE_MAX_BYTES, resend_time=-1)
+        socket.dial(f"tcp://{address}", block=False)
+        self._sockets[address] = socket
+
     async def fetch_tail(self, from_offset: int) -> TailReply | None:
         """Return what a peer with a newer state has, or None."""
         for address in list(self._sockets):
@@ -184,3 +187,8 @@
 
     def _take_gossip(self, gossip: Gossip) -> None:
         self._table.note(gossip, asyncio.get_running_loop().time())
+        # A fresh instance that cannot reach the platform has no list; whoever
+        # speaks to it is a peer.
+        if gossip.address not in self._sockets and len(self._sockets) < MAX_LEARNED:
+            self._dial(gossip.address)
+            self._halls[gossip.address] = gossip.hall
--- a/src/larkhoist/daemon/snapshot_writer.py
+++ b/src/larkhoist/daemon/snapshot_writer.py
@@ -8,6 +8,7 @@
 
 from larkhoist.daemon.logs import log_event
 from larkhoist.daemon.state_keeper import StateKeeper
+from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.log.snapshot import split_state
 from larkhoist.ports.platform import SNAPSHOT_STREAM, PlatformPort
 
@@ -41,9 +42,7 @@
 
     async def close(self) -> None:
         """Stop writing snapshots."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_tasks([self._task])
 
     async def _run(self) -> None:
         while True:
--- a/src/larkhoist/daemon/worker_link.py
+++ b/src/larkhoist/daemon/worker_link.py
@@ -6,6 +6,7 @@
 
 from returns.result import Success
 
+from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.ownership.tenure import Tenure
 from larkhoist.ports.worker import (
     CommandReply,
@@ -65,9 +66,7 @@
 
     async def close(self) -> None:
         """Stop renewing; the lease runs out by itself."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await cancel_tasks([self._task])
 
     def send(self, command: TaskCommand) -> None:
         """Queue a command."""
--- a/src/larkhoist/membership/peers.py
+++ b/src/larkhoist/membership/peers.py
@@ -20,12 +20,15 @@
 class Gossip(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Tell a peer what an instance knows; the answer is the peer's own.
 
-    ``next_offset`` is the state of the fold, ``in_flight`` counts requests by
-    upstream, ``ceilings`` are the slots that the hall's owner leaves to requests.
+    ``address`` is where the sender's peer link listens, for a receiver that has
+    no list yet. ``next_offset`` is the state of the fold, ``in_flight`` counts
+    requests by upstream, ``ceilings`` are the slots that the hall's owner leaves
+    to requests.
     """
 
     instance: str
     hall: str
+    address: str
     next_offset: int
     revision: int
     ready: bool
--- a/tests/checkers/test_checkers.py
+++ b/tests/checkers/test_checkers.py
@@ -5,6 +5,7 @@
 from larkhoist.codes import Code
 from tests.checkers.gangs import TaskEvent, check_gangs
 from tests.checkers.requests import CallRecord, check_requests
+from tests.checkers.revisions import RevisionSample, find_reversions
 
 
 def make_call(marker="m", key="k", repeatable=True, code=Code.ANSWERED, answer=None):
@@ -98,3 +99,11 @@
         TaskEvent(event.at_s + 2, "j", 2, event.member, event.event) for event in first
     ]
     assert [v.what for v in check(first + second)] == ["ran while another attempt ran"]
+
+
+def test_revision_that_goes_back_is_found():
+    good = [RevisionSample(1.0, "a", 1), RevisionSample(2.0, "a", 2)]
+    assert find_reversions([*good, RevisionSample(0.5, "b", 9)]) == []
+    assert find_reversions([*good, RevisionSample(3.0, "a", 0)]) == [
+        "a went from 2 to 0"
+    ]
--- a/tests/promises/callers.py
+++ b/tests/promises/callers.py
@@ -11,9 +11,10 @@
 from larkhoist.codes import Code
 from tests.checkers.requests import CallRecord, Violation, check_requests
 
-__all__ = ["Callers", "FaultLoop", "configure", "judge"]
+__all__ = ["CUSTOMER", "NOT_CONNECTED", "Callers", "FaultLoop", "configure", "judge"]
 
 CUSTOMER = "workshop"
+NOT_CONNECTED = -1
 QUIET_S = 0.6
 
 
@@ -60,6 +61,8 @@
             code = reply.code
             if code == Code.ANSWERED:
                 answer = _read_marker(reply.body)
+        except aiohttp.ClientConnectorError:
+            code = NOT_CONNECTED
         except (aiohttp.ClientError, TimeoutError):
             pass
         record = CallRecord(marker, key, not key, code, answer)
--- a/tests/promises/test_gangs_machine.py
+++ b/tests/promises/test_gangs_machine.py
@@ -3,7 +3,7 @@
 from unittest.mock import patch
 
 import pytest
-from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import HealthCheck, Phase, example, given, settings
 from hypothesis import strategies as st
 
 from larkhoist.log.objects import JobSpec
@@ -141,6 +141,18 @@
     phases=(Phase.explicit, Phase.generate, Phase.shrink),
 )
 @given(plan=plans)
+# The shortest plans that once failed, each for a fault of its own.
+@example(plan=[(("kill worker", "w0"), 0.25)])
+@example(plan=[(("heal", ""), 0.25), (("kill worker", "w0"), 4.0)])
+@example(
+    plan=[
+        (("kill worker", "w2"), 0.25),
+        (("cut", "w0"), 0.25),
+        (("cut", "w1"), 0.25),
+        (("new owner", ""), 4.0),
+    ]
+)
+@example(plan=[(("revive worker", "w0"), 0.5), (("lose replies", "w1"), 4.0)])
 def test_gangs_run_whole_through_any_faults(evidence, plan):
     machine = run_plan(plan, evidence.faults)
     heal(machine)
