--- a/src/larkhoist/border/loading.py
+++ b/src/larkhoist/border/loading.py
@@ -33,7 +33,7 @@
             [
                 Problem(
                     Code.NOT_PARSABLE,
-                    detail=str(error).split("\n")[0],
+                    detail=str(error.args[0]),
                     remedy="write JSON; comments and trailing commas are allowed",
                 )
             ]
--- a/src/larkhoist/client/call.py
+++ b/src/larkhoist/client/call.py
@@ -33,12 +33,10 @@
             session.request(method, f"http://{server}{path}", data=text) as response,
         ):
             data = await response.read()
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        remedy = "name an instance that runs with --server"
-        problem = Problem(
-            Code.CONNECTION_LOST, field="server", value=server, remedy=remedy
-        )
-        return Failure([problem, Problem(Code.CONNECTION_LOST, detail=repr(error))])
+    except aiohttp.ClientConnectorError:
+        return Failure([_describe_silence(Code.CONNECT_FAILED, server)])
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return Failure([_describe_silence(Code.CONNECTION_LOST, server)])
     return _read_reply(data)
 
 
@@ -63,3 +61,8 @@
             for item in body["problems"]
         ]
     )
+
+
+def _describe_silence(code: Code, server: str) -> Problem:
+    remedy = "name an instance that runs with --server"
+    return Problem(code, field="server", value=server, remedy=remedy)
--- a/src/larkhoist/client/main.py
+++ b/src/larkhoist/client/main.py
@@ -47,6 +47,7 @@
     """List the jobs."""
 
 
+@cappa.command(name="submit")
 @dataclass
 class JobSubmit:
     """Submit the job in a file."""
@@ -54,6 +55,7 @@
     file: Annotated[Path, cappa.Arg(help="job file, JSON with comments")]
 
 
+@cappa.command(name="show")
 @dataclass
 class JobShow:
     """Show one job."""
@@ -61,6 +63,7 @@
     name: str
 
 
+@cappa.command(name="cancel")
 @dataclass
 class JobCancel:
     """Cancel one job."""
@@ -72,11 +75,7 @@
 class Job:
     """Work with one job."""
 
-    action: cappa.Subcommands[
-        Annotated[JobSubmit, cappa.Command(name="submit")]
-        | Annotated[JobShow, cappa.Command(name="show")]
-        | Annotated[JobCancel, cappa.Command(name="cancel")]
-    ]
+    action: cappa.Subcommands[JobSubmit | JobShow | JobCancel]
 
 
 @dataclass
@@ -155,7 +154,7 @@
     try:
         call = _make_call(client.command)
     except OSError as error:
-        print(f"larkhoist: {error}", file=sys.stderr)
+        print(f"larkhoist: {error.filename}: {error.strerror}", file=sys.stderr)
         sys.exit(EXIT_REFUSED)
     result = asyncio.run(
         call_instance(call.method, client.server, call.path, call.text)
@@ -170,7 +169,8 @@
             problems = failure.failure()
             for problem in problems:
                 print(f"larkhoist: {problem}", file=sys.stderr)
-            unknown = is_unknown(problems[0].code)
+            code = problems[0].code
+            unknown = is_unknown(code) or code is Code.CONNECT_FAILED
             sys.exit(EXIT_UNKNOWN if unknown else EXIT_REFUSED)
 
 
--- a/src/larkhoist/codes.py
+++ b/src/larkhoist/codes.py
@@ -66,7 +66,7 @@
     Code.QUEUE_FULL: (503, "the queue is full; the request did not run"),
     Code.CUSTOMER_LIMIT: (429, "the customer's share is used up; it did not run"),
     Code.NO_UPSTREAM: (503, "no upstream may take work now; it did not run"),
-    Code.CONNECT_FAILED: (503, "no upstream could be connected; it did not run"),
+    Code.CONNECT_FAILED: (503, "no connection could be made; it did not run"),
     Code.DEADLINE_IN_QUEUE: (503, "the deadline came before a slot; it did not run"),
     Code.CLAIM_UNAVAILABLE: (503, "the key could not be claimed; it did not run"),
     Code.DRAINING: (503, "this instance is stopping; it did not run"),
--- a/src/larkhoist/daemon/hall_owner.py
+++ b/src/larkhoist/daemon/hall_owner.py
@@ -30,6 +30,7 @@
 _logger = logging.getLogger(__name__)
 CLAIM_STEP_S = 2.0
 CATCH_UP_S = 1.0
+IDLE_ROUNDS = 4
 LEAST_SLOTS_FOR_REQUESTS = 2
 
 
@@ -134,7 +135,8 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(self._interval_s)
+            rounds = 1 if self.tenure.is_trying else IDLE_ROUNDS
+            await asyncio.sleep(self._interval_s * rounds)
             try:
                 await self._tick(asyncio.get_running_loop().time())
             except Exception:
--- a/src/larkhoist/daemon/instance.py
+++ b/src/larkhoist/daemon/instance.py
@@ -18,7 +18,7 @@
 from larkhoist.daemon.logs import log_event
 from larkhoist.daemon.metrics import create_metrics
 from larkhoist.daemon.operator_api import OperatorApi
-from larkhoist.daemon.peer_link import PeerLink
+from larkhoist.daemon.peer_link import QUIET_ROUNDS, PeerLink
 from larkhoist.daemon.snapshot_writer import SnapshotWriter
 from larkhoist.daemon.state_keeper import StateKeeper
 from larkhoist.daemon.tasks import cancel_tasks
@@ -36,8 +36,8 @@
 __all__ = ["DaemonInstance", "create_instance"]
 
 _logger = logging.getLogger(__name__)
-PEER_LIVE_ROUNDS = 8
-LOAD_INTERVAL_S = 0.05
+PEER_LIVE_ROUNDS = 2 * QUIET_ROUNDS + 2
+LOAD_INTERVAL_S = 0.1
 NOT_READY_RETRY_S = 1.0
 DRAINING_RETRY_S = 1.0
 FLUSH_S = 2.0
--- a/src/larkhoist/daemon/operator_api.py
+++ b/src/larkhoist/daemon/operator_api.py
@@ -219,6 +219,7 @@
             for i in self._lists.listed.instances
             if i.kind == kind
         ]
+        views.sort(key=lambda view: (view.hall, view.name))
         return make_json_response(views)
 
     async def _commit(self, record: Record) -> Problem | None:
--- a/src/larkhoist/daemon/peer_link.py
+++ b/src/larkhoist/daemon/peer_link.py
@@ -24,13 +24,14 @@
     encode_message,
 )
 
-__all__ = ["PeerLink"]
+__all__ = ["PeerLink", "QUIET_ROUNDS"]
 
 _logger = logging.getLogger(__name__)
 ANSWER_TIMEOUT_S = 0.5
 SERVERS = 4
 TAIL_LIMIT = 500
 MAX_LEARNED = 64
+QUIET_ROUNDS = 4
 RECEIVE_MAX_BYTES = 256 * 1024 * 1024
 REMOTE_PEERS_PER_ROUND = 2
 
@@ -105,14 +106,24 @@
         return None
 
     async def _run_rounds(self) -> None:
+        told: Gossip | None = None
+        quiet = 0
         while True:
-            for address in self._choose_addresses():
-                if address not in self._busy:
-                    call = asyncio.create_task(self._gossip_with(address))
-                    self._calls.add(call)
-                    call.add_done_callback(self._calls.discard)
+            gossip = self._make_gossip()
+            quiet = quiet + 1 if gossip == told else 0
+            told = gossip
+            # With nothing new to tell, a round now and then shows that we live.
+            if quiet % QUIET_ROUNDS == 0:
+                self._begin_round()
             await asyncio.sleep(self._interval_s)
 
+    def _begin_round(self) -> None:
+        for address in self._choose_addresses():
+            if address not in self._busy:
+                call = asyncio.create_task(self._gossip_with(address))
+                self._calls.add(call)
+                call.add_done_callback(self._calls.discard)
+
     def _choose_addresses(self) -> list[str]:
         near = [a for a, hall in self._halls.items() if hall == self._hall]
         far = [a for a, hall in self._halls.items() if hall != self._hall]
