--- a/measure/costs.py
+++ b/measure/costs.py
@@ -242,7 +242,7 @@
         )
     terms = LeaseTerms()
     tenure = Tenure("i", terms)
-    tenure.set_workers({f"w{n}" for n in range(832)})
+    tenure.set_workers({f"w{n}" for n in range(832)}, 0.0)
     tenure.begin(0.0)
     update_s = time_median(lambda: tenure.update(1.0))
     print(f"  tenure update over 832 workers: {update_s * 1e6:.0f} us")
--- a/src/larkhoist/daemon/hall_owner.py
+++ b/src/larkhoist/daemon/hall_owner.py
@@ -18,6 +18,7 @@
 from larkhoist.log.records import JobClaimed
 from larkhoist.log.state import JobEntry, JobState
 from larkhoist.ownership.order import order_instances
+from larkhoist.ownership.roster import ListedWorker, match_workers
 from larkhoist.ownership.tenure import LeaseTerms, Tenure
 from larkhoist.placement.fragmentation import EXPECTED_MIX, get_fragmentation
 from larkhoist.ports.platform import Instance, InstanceList
@@ -61,6 +62,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._links: dict[str, WorkerLinkTask] = {}
         self._workers: dict[str, Instance] = {}
+        self._listed: dict[str, ListedWorker] = {}
         self._upstreams: dict[str, Instance] = {}
         self._halls: list[str] = []
         self._totals = make_hall_indexes(())
@@ -116,10 +118,15 @@
         self._workers = {
             i.name: i for i in near if i.kind == "worker" and i.accelerators
         }
+        self._listed = {
+            i.name: ListedWorker(i.rack, i.accelerators, i.leaving)
+            for i in self._workers.values()
+        }
         self._upstreams = {i.name: i for i in near if i.kind == "upstream"}
         self._totals = make_hall_indexes(listed.instances)
         self._halls = sorted(self._totals)
-        self.tenure.set_workers(set(self._workers))
+        now_s = asyncio.get_running_loop().time()
+        self.tenure.set_workers(set(self._workers), now_s)
 
     def get_ceilings(self) -> dict[str, int]:
         """Return the slots that requests may use at upstreams of the hall."""
@@ -220,7 +227,7 @@
 
     def _schedule(self, now_s: float) -> None:
         scheduler = self.scheduler
-        self._match_workers(now_s)
+        match_workers(scheduler, self.tenure, self._listed, now_s)
         changed = self._synced_offset != self._keeper.state.next_offset
         if changed or self._waits_to_claim:
             self._sync_jobs(now_s)
@@ -230,20 +237,6 @@
                 log_event(_logger, "hall-recovered", jobs=len(scheduler.jobs))
         self._carry_out(scheduler.decide(now_s), now_s)
 
-    def _match_workers(self, now_s: float) -> None:
-        scheduler = self.scheduler
-        known = scheduler.accelerators.workers
-        for name in known.keys() - self._workers.keys():
-            if self.tenure.is_surely_idle(name, now_s) or name not in self._links:
-                scheduler.remove_worker(name)
-        for name, worker in self._workers.items():
-            if name not in known:
-                scheduler.add_worker(name, worker.rack, worker.accelerators)
-            held = self.tenure.holds(name, now_s)
-            scheduler.set_usable(name, held and not worker.leaving)
-            if not held and self.tenure.is_surely_idle(name, now_s):
-                scheduler.note_idle(name)
-
     def _sync_jobs(self, now_s: float) -> None:
         state = self._keeper.state
         scheduler = self.scheduler
--- a/src/larkhoist/ownership/tenure.py
+++ b/src/larkhoist/ownership/tenure.py
@@ -14,6 +14,9 @@
 __all__ = ["LeaseTerms", "Tenure", "WorkerLease", "WorkerLink"]
 
 
+KEEP_UNLISTED_S = 60.0
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseTerms:
     """Hold the times of leases, in seconds.
@@ -70,13 +73,20 @@
     workers: dict[str, WorkerLease] = field(default_factory=dict)
     majority_since_s: float | None = None
     tried_since_s: float | None = None
+    unlisted: dict[str, float] = field(default_factory=dict)
+
+    def set_workers(self, names: set[str], now_s: float) -> None:
+        """Take over the list of the hall's workers.
 
-    def set_workers(self, names: set[str]) -> None:
-        """Take over the list of the hall's workers."""
+        One that has left the list is not renewed any more and does not count for
+        the majority; its last renewal left before ``now_s``.
+        """
         for name in names - self.workers.keys():
-            self.workers[name] = WorkerLease(self.epoch)
+            renewing_s = self.unlisted.pop(name, None)
+            self.workers[name] = WorkerLease(self.epoch, renewing_s=renewing_s)
         for name in self.workers.keys() - names:
             del self.workers[name]
+            self.unlisted[name] = now_s
 
     def begin(self, now_s: float) -> None:
         """Start a tenure with an epoch above every epoch seen."""
@@ -153,7 +163,10 @@
         )
 
     def update(self, now_s: float) -> None:
-        """Bring lapsed leases and the majority up to ``now_s``."""
+        """Bring lapsed leases, unlisted workers and the majority up to ``now_s``."""
+        for name in list(self.unlisted):
+            if self.is_surely_idle(name, now_s - KEEP_UNLISTED_S):
+                del self.unlisted[name]
         for name, lease in self.workers.items():
             if lease.link is WorkerLink.HELD and not self.holds(name, now_s):
                 lease.link = WorkerLink.UNREACHABLE
@@ -175,17 +188,18 @@
         return self.majority_since_s is not None
 
     def is_surely_idle(self, name: str, now_s: float) -> bool:
-        """Tell whether an unreachable worker must have stopped all its tasks.
+        """Tell whether a worker out of reach must have stopped all its tasks.
 
         The owner before may have renewed it until it lost its own majority,
         which was before this instance had one.
         """
-        lease = self.workers.get(name)
-        if lease is None or self.majority_since_s is None:
+        if self.majority_since_s is None:
             return False
+        lease = self.workers.get(name)
+        renewing_s = self.unlisted.get(name) if lease is None else lease.renewing_s
         last_s = self.majority_since_s
-        if lease.renewing_s is not None:
-            last_s = max(last_s, lease.renewing_s)
+        if renewing_s is not None:
+            last_s = max(last_s, renewing_s)
         return now_s > last_s + self.terms.term_s + self.get_idle_wait()
 
     def get_idle_wait(self) -> float:
@@ -199,5 +213,5 @@
         """
         return self.has_majority and all(
             self.holds(name, now_s) or self.is_surely_idle(name, now_s)
-            for name in self.workers
+            for name in (*self.workers, *self.unlisted)
         )
--- a/tests/promises/hall_machine.py
+++ b/tests/promises/hall_machine.py
@@ -10,6 +10,7 @@
 from larkhoist.log.objects import CustomerSpec, JobSpec
 from larkhoist.log.records import Batch, JobClaimed, JobPut, Record
 from larkhoist.log.state import ClusterState, JobState
+from larkhoist.ownership.roster import ListedWorker, match_workers
 from larkhoist.ownership.tenure import LeaseTerms, Tenure
 from larkhoist.ports.worker import CommandRequest, LeaseRequest, TaskCommand
 from larkhoist.scheduling.effect import Append, Send
@@ -49,7 +50,11 @@
         self.workers = {
             f"w{n}": StandInWorker(f"w{n}", accelerators) for n in range(workers)
         }
-        self.racks = {name: f"r{n // 8}" for n, name in enumerate(self.workers)}
+        self.facts = {
+            name: ListedWorker(f"r{number // 8}", accelerators)
+            for number, name in enumerate(self.workers)
+        }
+        self.listed = dict(self.facts)
         self.dead: set[str] = set()
         self.cut: set[tuple[str, str]] = set()
         self.lose_replies: set[str] = set()
@@ -76,7 +81,7 @@
     def add_owner(self, name: str) -> Owner:
         """Let an instance try for the hall."""
         owner = Owner(name, Tenure(name, TERMS))
-        owner.tenure.set_workers(set(self.workers))
+        owner.tenure.set_workers(set(self.listed), self.now_s)
         self.owners.append(owner)
         return owner
 
@@ -101,6 +106,20 @@
         """Bring a dead worker back, empty."""
         self.dead.discard(name)
 
+    def unlist_worker(self, name: str) -> None:
+        """Take a worker off the platform's list; it does not know of that."""
+        self.listed.pop(name, None)
+        self._share_list()
+
+    def relist_worker(self, name: str) -> None:
+        """Put a worker back on the platform's list."""
+        self.listed[name] = self.facts[name]
+        self._share_list()
+
+    def _share_list(self) -> None:
+        for owner in self.owners:
+            owner.tenure.set_workers(set(self.listed), self.now_s)
+
     # Time.
 
     def run(self, seconds: float) -> None:
@@ -154,7 +173,7 @@
             tenure.begin(self.now_s)
         if self.now_s - owner.renewed_s >= TERMS.renew_s:
             owner.renewed_s = self.now_s
-            for name in self.workers:
+            for name in self.listed:
                 self._renew(owner, name)
         tenure.update(self.now_s)
         if owner.scheduler is None and tenure.has_majority:
@@ -196,18 +215,12 @@
 
     def _gain(self, owner: Owner) -> None:
         owner.scheduler = self.make_scheduler(HALL, self.policy)
-        for name, worker in self.workers.items():
-            rack = self.racks[name]
-            owner.scheduler.add_worker(name, rack, worker.accelerators)
+        match_workers(owner.scheduler, owner.tenure, self.listed, self.now_s)
         self._sync(owner, recovering=True)
 
     def _schedule(self, owner: Owner) -> None:
         scheduler, tenure = owner.scheduler, owner.tenure
-        for name in self.workers:
-            held = tenure.holds(name, self.now_s)
-            scheduler.set_usable(name, held)
-            if not held and tenure.is_surely_idle(name, self.now_s):
-                scheduler.note_idle(name)
+        match_workers(scheduler, tenure, self.listed, self.now_s)
         self._sync(owner, recovering=False)
         if scheduler.has_recovering() and tenure.is_settled(self.now_s):
             effects = scheduler.recover(not self.log_down, self.now_s)
@@ -249,7 +262,7 @@
     def _send_one(self, owner: Owner, name: str, command: TaskCommand) -> bool | None:
         tenure = owner.tenure
         unreachable = name in self.dead or (owner.name, name) in self.cut
-        if name not in self.workers or unreachable:
+        if name not in self.listed or unreachable:
             return None
         request = CommandRequest(owner.name, tenure.get_epoch(name), (command,))
         reply = self.workers[name].command(request, self.now_s)
--- a/tests/promises/test_gangs_machine.py
+++ b/tests/promises/test_gangs_machine.py
@@ -34,6 +34,8 @@
     st.tuples(st.just("keep replies"), st.sampled_from(NAMES)),
     st.tuples(st.just("fail tasks"), st.sampled_from(NAMES)),
     st.tuples(st.just("cut"), st.sampled_from(NAMES)),
+    st.tuples(st.just("unlist worker"), st.sampled_from(NAMES)),
+    st.tuples(st.just("relist worker"), st.sampled_from(NAMES)),
     st.tuples(st.just("heal"), st.just("")),
     st.tuples(st.just("freeze owner"), st.just("")),
     st.tuples(st.just("thaw owners"), st.just("")),
@@ -66,6 +68,10 @@
             machine.workers[target].faults.fail_tasks ^= True
         case "cut":
             machine.cut |= {(owner.name, target) for owner in owners}
+        case "unlist worker":
+            machine.unlist_worker(target)
+        case "relist worker":
+            machine.relist_worker(target)
         case "heal":
             machine.cut.clear()
         case "freeze owner" if owners:
@@ -113,6 +119,7 @@
     machine.lose_replies.clear()
     for name, worker in machine.workers.items():
         machine.revive_worker(name)
+        machine.relist_worker(name)
         worker.faults.fail_tasks = False
         worker.faults.refuse_prepare = worker.faults.drop_starts = 0
     for owner in machine.owners:
@@ -210,3 +217,18 @@
     violations = check(machine)
     evidence.violations_without += len(violations)
     assert any("another attempt" in violation.what for violation in violations)
+
+
+@pytest.mark.promise(2)
+def test_member_on_an_unlisted_worker_is_waited_for(evidence):
+    machine = HallMachine(WORKERS)
+    machine.add_owner("owner")
+    machine.submit(JobSpec("j", "c", 2, 8, "rack", payload="run_s=30"))
+    machine.run(3.0)
+    job = machine.owners[0].scheduler.jobs["j"]
+    machine.unlist_worker(job.current.members[0].place.worker)
+    evidence.faults["unlist worker"] += 1
+    machine.run(80.0)
+    evidence.operations += len(machine.get_events())
+    assert check(machine) == []
+    assert machine.state.jobs["j"].state is JobState.ENDED
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -14,7 +14,7 @@
 
 def make_tenure():
     tenure = Tenure("me", TERMS)
-    tenure.set_workers(set(NAMES))
+    tenure.set_workers(set(NAMES), 0.0)
     tenure.begin(0.0)
     return tenure
 
