Mend three placement faults found by reading; split the hall scheduler

Cause: reading hall.py as a newcomer showed 1. an urgent job chose the cheapest accelerators even where other urgent work held them, could not displace it, and chose the same again for ever; 2. the fall-back for a claim looked at the firm index alone, which does not know what others hold, so two claims could hold the same accelerators; 3. the queue put whoever asked for a guarantee first, with or without one.

Change: blocks that nobody may take are left out of the choice; held ones are left out of the fall-back; precedence follows what fits the guarantee. Guarantee accounts, recovery and clear times are modules of their own.

Ruled out for 1: retrying elsewhere after a refusal (the choice itself was wrong).

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -7,6 +7,7 @@
 from measure.path import print_path
 from measure.placement import print_placement
 from measure.routing import print_routing
+from measure.urgent import print_urgent
 
 PARTS = {
     "placement": print_placement,
@@ -14,6 +15,7 @@
     "costs": print_costs,
     "path": print_path,
     "control": print_control,
+    "urgent": print_urgent,
 }
 
 
--- a/src/larkhoist/scheduling/attempt.py
+++ b/src/larkhoist/scheduling/attempt.py
@@ -16,7 +16,14 @@
 from larkhoist.ports.worker import TaskCommand, TaskReport, TaskState, Verb
 from larkhoist.scheduling.effect import Append, Effect, Send
 
-__all__ = ["Attempt", "AttemptTimes", "Member", "MemberState", "Phase"]
+__all__ = [
+    "Attempt",
+    "AttemptTimes",
+    "Member",
+    "MemberState",
+    "Phase",
+    "get_member_state",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +73,11 @@
 _STARTED = (MemberState.RUNNING, MemberState.FINISHED)
 
 
+def get_member_state(state: TaskState) -> MemberState:
+    """Return what a task's reported state means for its member."""
+    return _REPORTED[state]
+
+
 @dataclass(slots=True)
 class Member:
     """Hold one member of an attempt."""
@@ -151,7 +163,7 @@
             if report is None:
                 self._note_missing(member)
             else:
-                member.state = _REPORTED[report.state]
+                member.state = get_member_state(report.state)
                 member.checkpointed |= report.checkpointed
                 member.elapsed_s = report.elapsed_s
 
--- a/src/larkhoist/scheduling/drain.py
+++ b/src/larkhoist/scheduling/drain.py
@@ -1,13 +1,32 @@
 """Choose the workers that clear first for a gang that has waited long."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from larkhoist.log.objects import JobSpec
 from larkhoist.placement.blocks import get_level
 from larkhoist.scheduling.accelerators import Accelerators
-from larkhoist.scheduling.hall_job import Reservation
+from larkhoist.scheduling.hall_job import HallJob, JobPhase, Reservation
 
-__all__ = ["choose_reservation"]
+__all__ = ["choose_reservation", "predict_clear_times"]
+
+
+def predict_clear_times(
+    jobs: Iterable[HallJob], expect: Callable[[JobSpec], float], now_s: float
+) -> dict[str, float]:
+    """Return by worker when the work on it should have ended.
+
+    ``expect`` returns the run time of a job in seconds.
+    """
+    clear: dict[str, float] = {}
+    for job in jobs:
+        if job.phase is not JobPhase.ACTIVE:
+            continue
+        began_s = job.current.started_s or now_s
+        end_s = max(now_s, began_s + expect(job.spec))
+        for member in job.current.members:
+            name = member.place.worker
+            clear[name] = max(clear.get(name, now_s), end_s)
+    return clear
 
 
 def choose_reservation(
--- a/src/larkhoist/scheduling/hall.py
+++ b/src/larkhoist/scheduling/hall.py
@@ -5,28 +5,24 @@
 same object.
 """
 
-from collections import Counter, defaultdict
+from collections import defaultdict
 from collections.abc import Mapping
 
 from larkhoist.codes import Code
 from larkhoist.log.objects import CustomerSpec, JobSpec
 from larkhoist.log.records import JobFinished, JobRequeued
-from larkhoist.placement.guarantee import (
-    can_cover,
-    count_cells,
-    get_needed_cells,
-    subtract_claims,
-)
 from larkhoist.placement.index import MemberPlace
 from larkhoist.ports.worker import TaskCommand, TaskReport, TaskState, Verb
 from larkhoist.scheduling.accelerators import Accelerators
-from larkhoist.scheduling.attempt import Attempt, Member, MemberState, Phase
-from larkhoist.scheduling.drain import choose_reservation
+from larkhoist.scheduling.attempt import Attempt, Member, Phase
+from larkhoist.scheduling.drain import choose_reservation, predict_clear_times
 from larkhoist.scheduling.effect import Append, Effect, Send
+from larkhoist.scheduling.guarantee_book import GuaranteeBook
 from larkhoist.scheduling.hall_job import HallJob, JobPhase
 from larkhoist.scheduling.policy import SchedulingPolicy
 from larkhoist.scheduling.quarantine import Quarantine
 from larkhoist.scheduling.queue_order import get_queue_key
+from larkhoist.scheduling.recovery import find_newest_attempt
 from larkhoist.scheduling.runtime import RuntimeLearner
 from larkhoist.scheduling.victims import BorrowedUse, find_cheapest_places
 
@@ -45,7 +41,7 @@
         self.policy = policy
         self.accelerators = Accelerators()
         self.jobs: dict[str, HallJob] = {}
-        self.customers: dict[str, CustomerSpec] = {}
+        self._guarantees = GuaranteeBook(hall, self.accelerators.firm)
         self.learner = RuntimeLearner()
         self.quarantine = Quarantine()
         self._reports: dict[str, tuple[TaskReport, ...]] = {}
@@ -78,7 +74,7 @@
 
     def set_customers(self, customers: Mapping[str, CustomerSpec]) -> None:
         """Take over the customers in force."""
-        self.customers = dict(customers)
+        self._guarantees.customers = dict(customers)
 
     def add_job(
         self, spec: JobSpec, attempt: int, now_s: float, recovering: bool = False
@@ -311,24 +307,19 @@
         return effects
 
     def _recover_job(self, job: HallJob, now_s: float) -> list[Effect]:
-        found: dict[int, dict[int, tuple[str, TaskReport]]] = defaultdict(dict)
-        for worker, tasks in self._reports.items():
-            for task in tasks:
-                if task.job_id == job.spec.job_id:
-                    found[task.attempt][task.member] = (worker, task)
-        newest = max(found, default=0)
+        found = find_newest_attempt(job.spec, self._reports)
+        newest = found.number
         job.attempt = max(job.attempt, newest)
         if newest < job.attempt:
             return self._recover_absent(job)
-        members = [
-            self._recover_member(found[newest].get(index))
-            for index in range(job.spec.members)
-        ]
+        members = found.members
         job.current = Attempt(
             job.spec, self.hall, newest, members, self.policy.times, changed_s=now_s
         )
         self._note_active(job)
-        job.firm = job.spec.guaranteed and self._fits_guarantee(job)
+        job.firm = job.spec.guaranteed and self._guarantees.fits(
+            job, self.jobs.values()
+        )
         places = [m.place for m in members if m.place.worker]
         self.accelerators.use(places, job.firm)
         noted = job.placed_attempt >= newest
@@ -343,28 +334,12 @@
             return self._end_job(job, Code.MEMBER_LOST)
         return self._requeue(job, Code.MEMBER_LOST)
 
-    def _recover_member(self, found: tuple[str, TaskReport] | None) -> Member:
-        if found is None:
-            return Member(MemberPlace("", 0), MemberState.GONE)
-        worker, report = found
-        member = Member(MemberPlace(worker, report.accelerators))
-        states = {
-            TaskState.PREPARED: MemberState.PREPARED,
-            TaskState.RUNNING: MemberState.RUNNING,
-            TaskState.THROTTLED: MemberState.RUNNING,
-            TaskState.FINISHED: MemberState.FINISHED,
-            TaskState.FAILED: MemberState.FAILED,
-            TaskState.STOPPED: MemberState.GONE,
-        }
-        member.state = states[report.state]
-        member.elapsed_s = report.elapsed_s
-        return member
-
     # Placement.
 
     def _place_waiting(self, now_s: float) -> list[Effect]:
         self._look_s = now_s + LOOK_INTERVAL_S
         waiting = [self.jobs[job_id] for job_id in self._waiting]
+        self._mark_firm([job for job in waiting if not job.held])
         waiting.sort(key=lambda job: get_queue_key(job, now_s))
         effects: list[Effect] = []
         failed: set[tuple[int, int, str]] = set()
@@ -375,7 +350,6 @@
     def _place_job(self, job: HallJob, failed: set, now_s: float) -> list[Effect]:
         if job.held:
             return self._place_held(job, now_s)
-        job.firm = job.spec.guaranteed and self._fits_guarantee(job)
         places = None
         if job.reservation is not None:
             places = self._find_reserved(job)
@@ -430,78 +404,41 @@
 
     # Guarantees and reclaim.
 
-    def _fits_guarantee(self, job: HallJob) -> bool:
-        customer = self.customers.get(job.spec.customer)
-        if customer is None:
-            return False
-        claims = [
-            get_needed_cells(other.spec)
-            for other in self.jobs.values()
-            if other.firm
-            and other is not job
-            and other.spec.customer == job.spec.customer
-        ]
-        claims.append(get_needed_cells(job.spec))
-        return subtract_claims(self._get_guarantee(customer), claims) is not None
-
-    def _get_guarantee(self, customer: CustomerSpec) -> Counter[int]:
-        cells: Counter[int] = Counter()
-        for guarantee in customer.guarantees:
-            if guarantee.hall == self.hall:
-                cells.update(count_cells(guarantee.cells))
-        return cells
-
-    def get_unclaimed(self, claimant: HallJob | None = None) -> Counter[int]:
-        """Return the cells of all guarantees that are not in use.
-
-        ``claimant`` counts as if it ran.
-        """
-        unclaimed: Counter[int] = Counter()
-        for customer in self.customers.values():
-            claims = [
-                get_needed_cells(job.spec)
-                for job in self.jobs.values()
-                if job.firm
-                and job.spec.customer == customer.name
-                and (job.phase is JobPhase.ACTIVE or job is claimant)
-            ]
-            left = subtract_claims(self._get_guarantee(customer), claims)
-            unclaimed.update(left or Counter())
-        return unclaimed
-
-    def check_guarantees(self, claimant: HallJob | None = None) -> tuple[bool, str]:
+    def check_guarantees(self) -> tuple[bool, str]:
         """Tell whether free or reclaimable cells cover unclaimed guarantees."""
-        size = self.accelerators.firm.get_largest_size()
-        return can_cover(self.accelerators.firm, self.get_unclaimed(claimant), size)
+        return self._guarantees.check(self.jobs.values())
 
     def _keeps_guarantees(self, job: HallJob, places: list[MemberPlace]) -> bool:
         self.accelerators.firm.take(places)
-        covered, _ = self.check_guarantees(job)
+        covered, _ = self._guarantees.check(self.jobs.values(), job)
         self.accelerators.firm.give_back(places)
         return covered
 
+    def _mark_firm(self, waiting: list[HallJob]) -> None:
+        for job in waiting:
+            job.firm = False
+        claims = [job for job in waiting if job.spec.guaranteed]
+        for job in sorted(claims, key=lambda job: (job.submitted_s, job.spec.job_id)):
+            job.firm = self._guarantees.fits(job, self.jobs.values())
+
     def _reclaim_for(self, job: HallJob, now_s: float) -> list[Effect]:
         uses = self._list_reclaimable(job)
         places = find_cheapest_places(self.accelerators, job.spec, uses)
         if places is not None and job.firm and not self._keeps_guarantees(job, places):
-            places = self.accelerators.firm.find(*job.get_shape())
+            places = self._find_firm(job)
         if places is None:
             return []
-        if not job.firm and not self._can_displace(places, uses):
-            return []
         self.accelerators.hold(places)
         job.held = places
         return self._reclaim_places(places, uses, now_s)
 
-    def _can_displace(self, places, uses) -> bool:
-        for place in places:
-            worker = self.accelerators.workers[place.worker]
-            covered = 0
-            for use in uses.get(place.worker, ()):
-                covered |= use.mask
-            if worker.busy & place.mask & ~covered:
-                return False
-        return True
+    def _find_firm(self, job: HallJob) -> list[MemberPlace] | None:
+        """Return the places that break up the fewest cells, held ones left out."""
+        held = [place for other in self.jobs.values() for place in other.held]
+        self.accelerators.firm.take(held)
+        places = self.accelerators.firm.find(*job.get_shape())
+        self.accelerators.firm.give_back(held)
+        return places
 
     def _list_reclaimable(self, claimant: HallJob) -> dict[str, list[BorrowedUse]]:
         uses: dict[str, list[BorrowedUse]] = defaultdict(list)
@@ -557,7 +494,7 @@
             if other.reservation is not None
             for name in other.reservation.workers
         ]
-        clear_times = self._predict_clear_times(now_s)
+        clear_times = predict_clear_times(self.jobs.values(), self._expect, now_s)
         found = choose_reservation(
             self.accelerators,
             job.spec,
@@ -595,19 +532,6 @@
         places = [MemberPlace(name, 0) for name in job.reservation.workers]
         return self.accelerators.are_usable(places)
 
-    def _predict_clear_times(self, now_s: float) -> dict[str, float]:
-        clear: dict[str, float] = {}
-        for job in self.jobs.values():
-            if job.phase is not JobPhase.ACTIVE:
-                continue
-            attempt = job.current
-            began_s = attempt.started_s or now_s
-            end_s = max(now_s, began_s + self._expect(job.spec))
-            for member in attempt.members:
-                name = member.place.worker
-                clear[name] = max(clear.get(name, now_s), end_s)
-        return clear
-
     def _expect(self, spec: JobSpec) -> float:
         return self.learner.predict(spec, quantile=0.5)
 
--- a/src/larkhoist/scheduling/queue_order.py
+++ b/src/larkhoist/scheduling/queue_order.py
@@ -10,12 +10,12 @@
 def get_queue_key(job: HallJob, now_s: float) -> tuple[int, float, str]:
     """Return the sort key of a waiting job; the smallest goes first.
 
-    Urgent jobs go first and guaranteed ones second. Among the others the wait
+    Urgent jobs go first and those within a guarantee second. Among the others the wait
     counts, and more for larger gangs, which find room less often.
     """
     if job.spec.urgent:
         rank = 0
-    elif job.spec.guaranteed:
+    elif job.firm:
         rank = 1
     else:
         rank = 2
--- a/src/larkhoist/scheduling/victims.py
+++ b/src/larkhoist/scheduling/victims.py
@@ -34,7 +34,7 @@
 ) -> list[MemberPlace] | None:
     """Return places on free or borrowed accelerators at the least cost.
 
-    ``uses`` holds the reclaimable attempts by worker. None means that the firm
+    ``uses`` holds the reclaimable attempts by worker. None means that the other
     work leaves no room.
     """
     if spec.adjacency == "worker" or spec.members == 1:
@@ -79,11 +79,15 @@
     size = 1 << level
     blocks = []
     for name in names:
+        worker = accelerators.workers[name]
         firm_free = accelerators.firm.get_free(name)
-        held = accelerators.workers[name].held
+        reclaimable = 0
+        for use in uses.get(name, ()):
+            reclaimable |= use.mask
+        barred = worker.held | worker.busy & ~reclaimable
         for start in range(0, firm_free.bit_length(), size):
             mask = make_mask(size) << start
-            if firm_free & mask == mask and not held & mask:
+            if firm_free & mask == mask and not barred & mask:
                 cost = sum(use.cost for use in uses.get(name, ()) if use.mask & mask)
                 blocks.append(_Block(cost, name, mask))
     blocks.sort(key=lambda block: (block.cost, block.worker, block.mask))
--- a/tests/promises/hall_machine.py
+++ b/tests/promises/hall_machine.py
@@ -8,7 +8,7 @@
 
 from larkhoist.log.fold import fold_batch
 from larkhoist.log.objects import CustomerSpec, JobSpec
-from larkhoist.log.records import Batch, JobClaimed, JobPut, Record
+from larkhoist.log.records import Batch, JobCancelled, JobClaimed, JobPut, Record
 from larkhoist.log.state import ClusterState, JobState
 from larkhoist.ownership.roster import ListedWorker, match_workers
 from larkhoist.ownership.tenure import LeaseTerms, Tenure
@@ -78,6 +78,10 @@
         self._append(JobPut(spec))
         self._append(JobClaimed(spec.job_id, HALL))
 
+    def cancel(self, job_id: str) -> None:
+        """Cancel a job."""
+        self._append(JobCancelled(job_id))
+
     def add_owner(self, name: str) -> Owner:
         """Let an instance try for the hall."""
         owner = Owner(name, Tenure(name, TERMS))
