--- a/src/larkhoist/daemon/instance.py
+++ b/src/larkhoist/daemon/instance.py
@@ -10,6 +10,7 @@
 from larkhoist.adapters.upstream import create_upstream
 from larkhoist.border.settings import DaemonSettings
 from larkhoist.codes import Code
+from larkhoist.daemon.claimer import Claimer
 from larkhoist.daemon.entry import EntryTask
 from larkhoist.daemon.hall_owner import HallOwner
 from larkhoist.daemon.list_poller import ListPoller
@@ -19,6 +20,7 @@
 from larkhoist.daemon.metrics import create_metrics
 from larkhoist.daemon.operator_api import OperatorApi
 from larkhoist.daemon.peer_link import QUIET_ROUNDS, PeerLink
+from larkhoist.daemon.slot_table import SlotTable
 from larkhoist.daemon.snapshot_writer import SnapshotWriter
 from larkhoist.daemon.state_keeper import StateKeeper
 from larkhoist.daemon.tasks import cancel_tasks
@@ -87,16 +89,17 @@
             timing.decide_s,
             self._is_candidate,
         )
+        self._slots = SlotTable(settings.hall, _make_request_policy(settings))
+        claimer = Claimer(
+            settings.instance, self._keeper, self._writer, timing.claim_wait_s
+        )
         self._entry = EntryTask(
-            settings.instance,
-            settings.hall,
             self._keeper,
-            self._writer,
+            claimer,
+            self._slots,
             self._upstream,
-            _make_request_policy(settings),
             self._metrics,
             create_tracer(settings.log.spans),
-            timing.claim_wait_s,
             limits.max_answer_bytes,
             self._check_serving,
         )
@@ -241,7 +244,7 @@
             ready=self._ready,
             draining=self._leaving,
             owner_epoch=self._owner.epoch,
-            in_flight=self._entry.get_in_flight(),
+            in_flight=self._slots.get_in_flight(),
             ceilings=self._owner.get_ceilings(),
             list_version=self._lists.listed.version,
         )
@@ -254,7 +257,7 @@
                 if i.kind == "entry" and i.name != self._settings.instance
             }
         )
-        self._entry.take_list(listed)
+        self._slots.take_list(listed, asyncio.get_running_loop().time())
         self._owner.take_list(listed)
 
     async def _share_loads(self) -> None:
@@ -277,7 +280,8 @@
             for gossip in live:
                 if gossip.hall == hall and gossip.owner_epoch:
                     ceilings = gossip.ceilings
-            self._entry.take_loads(self._table.count_in_flight(hall, now_s), ceilings)
+            remote = self._table.count_in_flight(hall, now_s)
+            self._slots.take_loads(remote, ceilings, now_s)
 
     # Health, metrics and status.
 
@@ -292,10 +296,10 @@
     async def _get_metrics(self, request: web.Request) -> web.Response:
         state = self._keeper.state
         for name, value in {
-            "queue": self._entry.count_waiting(),
+            "queue": self._slots.count_waiting(),
             "in_flight": self._entry.in_flight,
-            "upstreams": self._entry.count_upstreams(),
-            "upstreams_ejected": self._entry.count_ejected(),
+            "upstreams": self._slots.count_upstreams(),
+            "upstreams_ejected": self._slots.count_ejected(),
             "owner_epoch": self._owner.epoch,
             "leases": self._owner.count_leases(),
             "jobs": self._owner.count_jobs(),
--- a/tests/broken/no_claims.py
+++ b/tests/broken/no_claims.py
@@ -1,6 +1,6 @@
 """Send requests that are not repeatable without a claim on the log."""
 
-from larkhoist.daemon.entry import EntryTask
+from larkhoist.daemon.claimer import Claimer
 from larkhoist.daemon.main import main
 
 
@@ -9,7 +9,7 @@
     call.claimed_s = float("inf")
 
 
-EntryTask._claim = claim_nothing
+Claimer.claim = claim_nothing
 
 if __name__ == "__main__":
     main()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,6 @@
 
 from demo.cluster import ClusterShape, create_cluster
 
-
 QUICK_STOP = {"drain_notice_s": 0.05}
 
 
