Wait for workers that only the log knows; bound headers and requests under way

Cause: an owner that died just after a running worker had left the list was followed by one that never heard of that worker and started the gang a second time; the new test failed with 'ran while another attempt ran' on attempt 3.

Ruled out: waiting for every job at each change of owner (13.5 s by default for work that never started), and noting every start on the log first (an outage would stop repeatable jobs).

Figures: 12 requests at once against a bound of 4: 4 answered, 8 refused.

--- a/src/larkhoist/border/settings.py
+++ b/src/larkhoist/border/settings.py
@@ -51,6 +51,8 @@
     max_queue: PositiveCount = 1000
     max_customer_queue: PositiveCount = 500
     max_header_bytes: PositiveCount = 8190
+    max_headers: PositiveCount = 64
+    max_in_flight: PositiveCount = 4096
     max_connections: PositiveCount = 4096
     append_budget_per_s: Positive = 80.0
     max_tail_entries: PositiveCount = 20_000
--- a/src/larkhoist/daemon/hall_owner.py
+++ b/src/larkhoist/daemon/hall_owner.py
@@ -232,7 +232,10 @@
         if changed or self._waits_to_claim:
             self._sync_jobs(now_s)
         if scheduler.has_recovering() and self.tenure.is_settled(now_s):
-            self._carry_out(scheduler.recover(self._log_current, now_s), now_s)
+            effects = scheduler.recover(
+                self._log_current, lambda name: self.tenure.is_known(name, now_s), now_s
+            )
+            self._carry_out(effects, now_s)
             if not scheduler.has_recovering():
                 log_event(_logger, "hall-recovered", jobs=len(scheduler.jobs))
         self._carry_out(scheduler.decide(now_s), now_s)
@@ -260,7 +263,7 @@
             scheduler.add_job(entry.spec, entry.attempt, now_s - age_s, first)
             self._claimed.discard(job_id)
         if entry.state is JobState.PLACED:
-            scheduler.note_placed(job_id, entry.attempt)
+            scheduler.note_placed(job_id, entry.attempt, entry.workers)
         if entry.cancelled:
             self._carry_out(scheduler.cancel_job(job_id, now_s), now_s)
 
--- a/src/larkhoist/daemon/instance.py
+++ b/src/larkhoist/daemon/instance.py
@@ -42,6 +42,7 @@
 LOAD_INTERVAL_S = 0.1
 NOT_READY_RETRY_S = 1.0
 DRAINING_RETRY_S = 1.0
+BUSY_RETRY_S = 1.0
 FLUSH_S = 2.0
 HANDLER_SHUTDOWN_S = 1.0
 LINGER_S = 0.2
@@ -190,6 +191,7 @@
             handler_cancellation=True,
             max_line_size=limits.max_header_bytes,
             max_field_size=limits.max_header_bytes,
+            max_headers=limits.max_headers,
             shutdown_timeout=HANDLER_SHUTDOWN_S,
         )
         await self._runner.setup()
@@ -208,6 +210,8 @@
             return Problem(Code.DRAINING, retry_after_s=DRAINING_RETRY_S)
         if not self._ready:
             return Problem(Code.NOT_READY, retry_after_s=NOT_READY_RETRY_S)
+        if self._entry.in_flight > self._settings.limits.max_in_flight:
+            return Problem(Code.QUEUE_FULL, retry_after_s=BUSY_RETRY_S)
         return None
 
     def _is_candidate(self) -> bool:
--- a/src/larkhoist/ownership/tenure.py
+++ b/src/larkhoist/ownership/tenure.py
@@ -212,6 +212,9 @@
         Only then does the owner know all that runs in the hall.
         """
         return self.has_majority and all(
-            self.holds(name, now_s) or self.is_surely_idle(name, now_s)
-            for name in (*self.workers, *self.unlisted)
+            self.is_known(name, now_s) for name in (*self.workers, *self.unlisted)
         )
+
+    def is_known(self, name: str, now_s: float) -> bool:
+        """Tell whether a worker is held or must have stopped its tasks."""
+        return self.holds(name, now_s) or self.is_surely_idle(name, now_s)
--- a/src/larkhoist/scheduling/hall.py
+++ b/src/larkhoist/scheduling/hall.py
@@ -6,7 +6,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from larkhoist.codes import Code
 from larkhoist.log.objects import CustomerSpec, JobSpec
@@ -98,10 +98,11 @@
             return job.current.stop(Code.JOB_CANCELLED, now_s)
         return []
 
-    def note_placed(self, job_id: str, attempt: int) -> None:
-        """Note that the log says that an attempt was placed."""
+    def note_placed(self, job_id: str, attempt: int, workers: tuple[str, ...]) -> None:
+        """Note that the log says that an attempt was placed on ``workers``."""
         if job_id in self.jobs:
             self.jobs[job_id].placed_attempt = attempt
+            self.jobs[job_id].placed_workers = workers
             self._touched.add(job_id)
 
     def note_ended(self, job_id: str) -> list[Effect]:
@@ -140,17 +141,23 @@
             self.jobs[job_id].current.note_idle((worker,))
             self._touched.add(job_id)
 
-    def recover(self, log_current: bool, now_s: float) -> list[Effect]:
+    def recover(
+        self, log_current: bool, is_known: Callable[[str], bool], now_s: float
+    ) -> list[Effect]:
         """Take over what runs, once every worker is known (a settled tenure).
 
         What is not repeatable waits until the log was read to its end in this
-        tenure (``log_current``): an earlier owner may have started it.
+        tenure (``log_current``): an earlier owner may have started it. A job that
+        the log has on a worker that is not known, since it left the list, waits
+        until that worker must have stopped.
         """
         effects: list[Effect] = []
         for job in self.jobs.values():
             if job.phase is not JobPhase.RECOVERING:
                 continue
-            if log_current or job.spec.repeatable:
+            if not log_current and not job.spec.repeatable:
+                continue
+            if all(map(is_known, job.placed_workers)):
                 effects += self._recover_job(job, now_s)
         return effects
 
--- a/src/larkhoist/scheduling/hall_job.py
+++ b/src/larkhoist/scheduling/hall_job.py
@@ -31,7 +31,11 @@
 
 @dataclass(slots=True)
 class HallJob:
-    """Hold one job; ``held`` are accelerators kept while others are reclaimed."""
+    """Hold one job; ``held`` are accelerators kept while others are reclaimed.
+
+    ``placed_attempt`` and ``placed_workers`` are what the log says of its newest
+    start.
+    """
 
     spec: JobSpec
     submitted_s: float
@@ -41,6 +45,7 @@
     firm: bool = False
     cancelled: bool = False
     placed_attempt: int = 0
+    placed_workers: tuple[str, ...] = ()
     failures: int = 0
     held: list[MemberPlace] = field(default_factory=list)
     reservation: Reservation | None = None
--- a/tests/promises/hall_machine.py
+++ b/tests/promises/hall_machine.py
@@ -227,7 +227,11 @@
         match_workers(scheduler, tenure, self.listed, self.now_s)
         self._sync(owner, recovering=False)
         if scheduler.has_recovering() and tenure.is_settled(self.now_s):
-            effects = scheduler.recover(not self.log_down, self.now_s)
+            effects = scheduler.recover(
+                not self.log_down,
+                lambda name: tenure.is_known(name, self.now_s),
+                self.now_s,
+            )
             self._take_effects(owner, effects)
         self._take_effects(owner, scheduler.decide(self.now_s))
 
@@ -244,7 +248,7 @@
             if job_id not in scheduler.jobs:
                 scheduler.add_job(entry.spec, entry.attempt, self.now_s, recovering)
             if entry.state is JobState.PLACED:
-                scheduler.note_placed(job_id, entry.attempt)
+                scheduler.note_placed(job_id, entry.attempt, entry.workers)
             if entry.cancelled:
                 self._take_effects(owner, scheduler.cancel_job(job_id, self.now_s))
 
--- a/tests/promises/test_gangs_machine.py
+++ b/tests/promises/test_gangs_machine.py
@@ -232,3 +232,21 @@
     evidence.operations += len(machine.get_events())
     assert check(machine) == []
     assert machine.state.jobs["j"].state is JobState.ENDED
+
+
+@pytest.mark.promise(2)
+def test_owner_that_dies_after_a_worker_left_the_list_leaves_no_second_run(evidence):
+    machine = HallMachine(WORKERS)
+    machine.add_owner("owner")
+    machine.submit(JobSpec("j", "c", 2, 8, "rack", payload="run_s=30"))
+    machine.run(3.0)
+    job = machine.owners[0].scheduler.jobs["j"]
+    machine.unlist_worker(job.current.members[0].place.worker)
+    machine.owners.clear()
+    machine.add_owner("next")
+    evidence.faults["unlist worker"] += 1
+    evidence.faults["kill owner"] += 1
+    machine.run(90.0)
+    evidence.operations += len(machine.get_events())
+    assert check(machine) == []
+    assert machine.state.jobs["j"].state is JobState.ENDED
--- a/tests/promises/test_requests.py
+++ b/tests/promises/test_requests.py
@@ -241,3 +241,19 @@
     assert later == Code.ANSWERED
     evidence.operations += len(callers.calls)
     assert await judge(callers) == []
+
+
+async def test_requests_beyond_the_bound_are_refused_at_once(start_cluster):
+    cluster = await start_cluster(
+        halls=("hall-a",),
+        workers=0,
+        runners=1,
+        settings={"limits": {"max_in_flight": 4}},
+    )
+    await configure(cluster)
+    callers = Callers(cluster, seed=15)
+    calls = (callers.call("hall-a-entry-0", work_ms=1500) for _ in range(12))
+    codes = [record.code for record in await asyncio.gather(*calls)]
+    assert codes.count(Code.ANSWERED) == 4
+    assert codes.count(Code.QUEUE_FULL) == 8
+    assert await judge(callers) == []
