Keep renewing a worker that left the list and came back at once

Cause: found by reading hall_owner.py: the task of a worker looked its lease up by name and died where the list had dropped the worker; if the worker was back before the owner matched its tasks, nobody renewed it any more.

Ruled out: matching tasks inside take_list (closing a task takes awaiting).

--- a/measure/replay.py
+++ b/measure/replay.py
@@ -7,7 +7,11 @@
 
 from larkhoist.codes import Code
 from larkhoist.log.records import JobFinished, JobRequeued
-from larkhoist.placement.fragmentation import get_fragmentation, get_largest_block
+from larkhoist.placement.fragmentation import (
+    ExpectedShape,
+    get_fragmentation,
+    get_largest_block,
+)
 from larkhoist.placement.index import FreeIndex
 from larkhoist.ports.worker import TaskReport, TaskState, Verb
 from larkhoist.scheduling.effect import Append, Send
@@ -19,8 +23,6 @@
 
 __all__ = ["MEASURED_MIX", "ReplayResult", "replay_ours", "replay_plainly"]
 
-from larkhoist.placement.fragmentation import ExpectedShape
-
 MEASURED_MIX = (
     ExpectedShape(1, 1, "worker", 0.35),
     ExpectedShape(1, 4, "worker", 0.25),
@@ -204,7 +206,7 @@
         self.scheduler.note_command(command, True)
 
     def _start(self, worker, key) -> None:
-        job_id, attempt, member = key
+        job_id, attempt, _ = key
         old = self.tasks[worker][key]
         self.tasks[worker][key] = TaskReport(*key, TaskState.RUNNING, old.accelerators)
         failed = worker in self.workload.bad_workers
@@ -216,7 +218,6 @@
         else:
             end_s = self.now_s + self.left_s[job_id]
             self.events.add(end_s, _Finish(job_id, attempt, worker, False))
-        del member
 
     def _finish(self, job_id, attempt, worker, failed) -> None:
         state = TaskState.FAILED if failed else TaskState.FINISHED
--- a/src/larkhoist/daemon/worker_link.py
+++ b/src/larkhoist/daemon/worker_link.py
@@ -90,6 +90,10 @@
 
     async def _renew(self) -> None:
         tenure = self._tenure
+        if self._name not in tenure.workers:
+            # The worker left the list; this task is about to be closed, or goes
+            # on where the worker comes back at once.
+            return
         sent_s = asyncio.get_running_loop().time()
         task_term_s = tenure.get_task_term(self._name, sent_s)
         epoch = tenure.epoch
