Explain a job through any instance; show slots and the log's lag

Cause: `larkhoist explain` told why a job waits only where it met the owner of the job's hall, which an operator behind a balancer cannot choose; two metrics that were asked for were missing.

Ruled out: explanations in gossip (bytes for every job, each round).

Conclusion: done; a wholly cut hall's jobs are explained by its own instances alone.

--- a/src/larkhoist/daemon/hall_owner.py
+++ b/src/larkhoist/daemon/hall_owner.py
@@ -106,6 +106,12 @@
         """Return how many jobs of the hall wait or run."""
         return len(self.scheduler.jobs) if self.scheduler is not None else 0
 
+    def explain(self, job_id: str) -> str:
+        """Return why a job waits or where it runs, empty where it is not ours."""
+        if self.scheduler is None or job_id not in self.scheduler.jobs:
+            return ""
+        return self.scheduler.explain(job_id, asyncio.get_running_loop().time())
+
     def get_fragmentation(self) -> float:
         """Return the fragmentation of the hall, 0 where it is not owned."""
         if self.scheduler is None:
--- a/src/larkhoist/daemon/instance.py
+++ b/src/larkhoist/daemon/instance.py
@@ -67,6 +67,7 @@
             self._keeper,
             self._lists,
             self._make_gossip,
+            lambda job_id: self._owner.explain(job_id),
             timing.gossip_s,
         )
         self._follower = LogFollower(
@@ -108,7 +109,7 @@
             self._keeper,
             self._writer,
             self._lists,
-            self._owner,
+            self._explain,
             self._make_status,
             self._check_serving,
         )
@@ -235,6 +236,11 @@
     def _get_live(self) -> list[Gossip]:
         return self._table.get_live(asyncio.get_running_loop().time())
 
+    async def _explain(self, hall: str, job_id: str) -> str:
+        if not hall:
+            return ""
+        return self._owner.explain(job_id) or await self._peers.ask_owner(hall, job_id)
+
     # What goes to and comes from the peers.
 
     def _make_gossip(self) -> Gossip:
@@ -308,7 +314,9 @@
             "leases": self._owner.count_leases(),
             "jobs": self._owner.count_jobs(),
             "fragmentation": self._owner.get_fragmentation(),
+            "slots": self._slots.count_slots(),
             "log_offset": state.next_offset,
+            "log_lag": self._follower.lag,
             "log_waiting": self._writer.count_waiting(),
             "platform_up": self._follower.platform_up,
             "revision": state.revision,
--- a/src/larkhoist/daemon/log_follower.py
+++ b/src/larkhoist/daemon/log_follower.py
@@ -40,6 +40,12 @@
         self._task: asyncio.Task | None = None
         self.reached_end = False
         self.platform_up = False
+        self._end = 0
+
+    @property
+    def lag(self) -> int:
+        """Return how many records of the log are known of and not yet folded."""
+        return max(0, self._end - self._keeper.state.next_offset)
 
     async def start(self) -> None:
         """Begin to follow."""
@@ -85,6 +91,7 @@
 
     async def _take_page(self, page: LogPage) -> None:
         state = self._keeper.state
+        self._end = page.end
         if page.oldest > state.next_offset:
             await self._bridge_gap(page)
             return
--- a/src/larkhoist/daemon/operator_api.py
+++ b/src/larkhoist/daemon/operator_api.py
@@ -1,8 +1,7 @@
 """Serve operators: plans, confirms, jobs and what there is."""
 
-import asyncio
 import uuid
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 
@@ -14,7 +13,6 @@
 )
 from larkhoist.border.loading import load_model
 from larkhoist.codes import Code
-from larkhoist.daemon.hall_owner import HallOwner
 from larkhoist.daemon.list_poller import ListPoller
 from larkhoist.daemon.log_writer import LogWriter
 from larkhoist.daemon.replies import make_json_response, make_problem_response
@@ -36,7 +34,7 @@
     PlanProposed,
     Record,
 )
-from larkhoist.log.state import JobEntry
+from larkhoist.log.state import JobEntry, JobState
 from larkhoist.problem import Problem
 
 __all__ = ["OperatorApi"]
@@ -53,14 +51,14 @@
         keeper: StateKeeper,
         writer: LogWriter,
         lists: ListPoller,
-        owner: HallOwner,
+        explain: Callable[[str, str], Awaitable[str]],
         make_status: Callable[[], StatusView],
         check_serving: Callable[[], Problem | None],
     ):
         self._keeper = keeper
         self._writer = writer
         self._lists = lists
-        self._owner = owner
+        self._explain = explain
         self._make_status = make_status
         self._check_serving = check_serving
 
@@ -134,7 +132,7 @@
     async def list_jobs(self, _: web.Request) -> web.Response:
         """List the jobs."""
         jobs = self._keeper.state.jobs.values()
-        return make_json_response([self._view_job(job) for job in jobs])
+        return make_json_response([_view_job(job) for job in jobs])
 
     async def submit_job(self, request: web.Request) -> web.Response:
         """Take a job; a second one with the same name changes nothing."""
@@ -162,7 +160,7 @@
         problem = await self._commit(JobPut(spec))
         if problem is not None:
             return make_problem_response(problem)
-        return make_json_response(self._view_job(self._keeper.state.jobs[spec.job_id]))
+        return make_json_response(_view_job(self._keeper.state.jobs[spec.job_id]))
 
     async def show_job(self, request: web.Request) -> web.Response:
         """Show one job and why it waits."""
@@ -170,7 +168,10 @@
         job = self._keeper.state.jobs.get(job_id)
         if job is None:
             return _make_unknown("job", job_id)
-        return make_json_response(self._view_job(job))
+        explanation = ""
+        if job.state is not JobState.ENDED:
+            explanation = await self._explain(job.hall, job_id)
+        return make_json_response(_view_job(job, explanation))
 
     async def cancel_job(self, request: web.Request) -> web.Response:
         """End a job."""
@@ -180,7 +181,7 @@
         problem = await self._commit(JobCancelled(job_id))
         if problem is not None:
             return make_problem_response(problem)
-        return make_json_response(self._view_job(self._keeper.state.jobs[job_id]))
+        return make_json_response(_view_job(self._keeper.state.jobs[job_id]))
 
     async def list_customers(self, _: web.Request) -> web.Response:
         """List the customers in force here."""
@@ -234,25 +235,21 @@
     def _make_halls(self):
         return make_hall_indexes(self._lists.listed.instances)
 
-    def _view_job(self, job: JobEntry) -> JobView:
-        spec = job.spec
-        explanation = ""
-        scheduler = self._owner.scheduler
-        if scheduler is not None and spec.job_id in scheduler.jobs:
-            now_s = asyncio.get_running_loop().time()
-            explanation = scheduler.explain(spec.job_id, now_s)
-        return JobView(
-            spec.job_id,
-            spec.customer,
-            job.state.value,
-            job.hall,
-            job.attempt,
-            job.code,
-            f"{spec.members} x {spec.accelerators} in one {spec.adjacency}",
-            job.workers,
-            job.cancelled,
-            explanation,
-        )
+
+def _view_job(job: JobEntry, explanation: str = "") -> JobView:
+    spec = job.spec
+    return JobView(
+        spec.job_id,
+        spec.customer,
+        job.state.value,
+        job.hall,
+        job.attempt,
+        job.code,
+        f"{spec.members} x {spec.accelerators} in one {spec.adjacency}",
+        job.workers,
+        job.cancelled,
+        explanation,
+    )
 
 
 def _get_author(request: web.Request) -> str:
--- a/src/larkhoist/daemon/peer_link.py
+++ b/src/larkhoist/daemon/peer_link.py
@@ -13,6 +13,8 @@
 from larkhoist.daemon.state_keeper import StateKeeper
 from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.membership.peers import (
+    ExplainReply,
+    ExplainRequest,
     Gossip,
     ListReply,
     ListRequest,
@@ -51,6 +53,7 @@
         keeper: StateKeeper,
         lists: ListPoller,
         make_gossip: Callable[[], Gossip],
+        explain: Callable[[str], str],
         interval_s: float,
     ):
         self._listen_url = listen_url
@@ -59,6 +62,7 @@
         self._keeper = keeper
         self._lists = lists
         self._make_gossip = make_gossip
+        self._explain = explain
         self._interval_s = interval_s
         self._server: pynng.Rep0 | None = None
         self._sockets: dict[str, pynng.Req0] = {}
@@ -105,6 +109,17 @@
                     return answer
         return None
 
+    async def ask_owner(self, hall: str, job_id: str) -> str:
+        """Return what the owner of a hall says of a job, empty where none answers."""
+        owner = self._table.find_owner(hall, asyncio.get_running_loop().time())
+        if owner is None:
+            return ""
+        match await self._ask(owner.address, ExplainRequest(job_id)):
+            case ExplainReply(text):
+                return text
+            case _:
+                return ""
+
     async def _run_rounds(self) -> None:
         told: Gossip | None = None
         quiet = 0
@@ -183,6 +198,8 @@
                 return encode_message(self._make_gossip())
             case TailRequest(from_offset):
                 return encode_message(self._make_tail(from_offset))
+            case ExplainRequest(job_id):
+                return encode_message(ExplainReply(self._explain(job_id)))
             case ListRequest():
                 return encode_message(ListReply(self._lists.listed))
             case _:
--- a/src/larkhoist/daemon/slot_table.py
+++ b/src/larkhoist/daemon/slot_table.py
@@ -70,6 +70,10 @@
         """Return how many upstreams there are."""
         return sum(len(d.upstreams.names()) for d in self._dispatchers.values())
 
+    def count_slots(self) -> int:
+        """Return the slots that requests may use."""
+        return sum(d.upstreams.count_slots() for d in self._dispatchers.values())
+
     def count_ejected(self) -> int:
         """Return how many upstreams are ejected."""
         return sum(d.upstreams.count_ejected() for d in self._dispatchers.values())
--- a/src/larkhoist/membership/peers.py
+++ b/src/larkhoist/membership/peers.py
@@ -5,6 +5,8 @@
 from larkhoist.ports.platform import InstanceList, LogEntry
 
 __all__ = [
+    "ExplainReply",
+    "ExplainRequest",
     "Gossip",
     "ListReply",
     "ListRequest",
@@ -62,7 +64,27 @@
     listed: InstanceList
 
 
-PeerMessage = Gossip | TailRequest | TailReply | ListRequest | ListReply
+class ExplainRequest(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Ask a hall's owner why a job waits or where it runs."""
+
+    job_id: str
+
+
+class ExplainReply(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Hold the explanation, empty where the receiver does not own the hall."""
+
+    text: str
+
+
+PeerMessage = (
+    Gossip
+    | TailRequest
+    | TailReply
+    | ListRequest
+    | ListReply
+    | ExplainRequest
+    | ExplainReply
+)
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(PeerMessage)
 
@@ -99,6 +121,11 @@
         """Return every gossip with the time at which it came."""
         return list(self._heard.values())
 
+    def find_owner(self, hall: str, now_s: float) -> Gossip | None:
+        """Return the newest gossip of a hall's owner, or None where none is live."""
+        owners = [g for g in self.get_live(now_s) if g.hall == hall and g.owner_epoch]
+        return max(owners, key=lambda gossip: gossip.owner_epoch, default=None)
+
     def count_in_flight(self, hall: str, now_s: float) -> dict[str, int]:
         """Return the peers' requests in flight by upstream of one hall."""
         counts: dict[str, int] = {}
--- a/src/larkhoist/requests/upstream_set.py
+++ b/src/larkhoist/requests/upstream_set.py
@@ -128,6 +128,14 @@
             self._eject(upstream, now_s)
         self._list(upstream, now_s)
 
+    def count_slots(self) -> int:
+        """Return the slots that requests may use at upstreams that stay."""
+        return sum(
+            min(upstream.slots, upstream.ceiling)
+            for upstream in self._upstreams.values()
+            if not upstream.leaving
+        )
+
     def count_ejected(self) -> int:
         """Return how many upstreams are ejected."""
         return len(self._ejected)
