Remove code that nothing calls; share one background loop among the proofs

Cause: reading the whole change again showed three methods that nothing calls (FreeIndex.has_worker, Problem.with_retry, FairQueue.get_next_deadline) and the same start and stop of a background task in three test classes.

Change: the three are gone; Balancer, FaultLoop and Watcher share Background.

Ruled out: one base for stand-ins' fault settings, and one for the two lease and attempt time classes: alike in shape, not in meaning.

Conclusion: behaviour and assertions are as they were.

--- a/src/larkhoist/placement/index.py
+++ b/src/larkhoist/placement/index.py
@@ -76,10 +76,6 @@
         worker = self._workers.pop(name)
         del self._racks[worker.rack].workers[name]
 
-    def has_worker(self, name: str) -> bool:
-        """Tell whether the worker is in the index."""
-        return name in self._workers
-
     def get_free(self, name: str) -> int:
         """Return the mask of the worker's free accelerators."""
         return self._workers[name].free
--- a/src/larkhoist/problem.py
+++ b/src/larkhoist/problem.py
@@ -1,6 +1,6 @@
 """Describe a refusal or an error to people and programs in one shape."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from larkhoist.codes import Code, describe_code
 
@@ -30,7 +30,3 @@
         if self.remedy:
             parts.append(f"remedy: {self.remedy}")
         return "; ".join(parts)
-
-    def with_retry(self, retry_after_s: float) -> "Problem":
-        """Return the same failure with a time to come back, in seconds."""
-        return replace(self, retry_after_s=retry_after_s)
--- a/src/larkhoist/requests/fair_queue.py
+++ b/src/larkhoist/requests/fair_queue.py
@@ -94,7 +94,3 @@
             self.remove(request.request_id)
             late.append(request)
         return late
-
-    def get_next_deadline(self) -> float | None:
-        """Return the earliest deadline of all that wait."""
-        return self._deadlines[0][0] if self._deadlines else None
--- a/tests/promises/balancer.py
+++ b/tests/promises/balancer.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from demo.cluster import Cluster
+from tests.promises.background import Background
 from tests.promises.callers import Callers
 
 __all__ = ["Balancer"]
@@ -12,23 +13,14 @@
 POLL_S = 0.1
 
 
-class Balancer:
+class Balancer(Background):
     """Ask every instance at intervals whether it may get requests."""
 
     def __init__(self, cluster: Cluster, names: list[str]):
         self._cluster = cluster
         self._names = names
-        self._task: asyncio.Task | None = None
         self.ready = list(names)
 
-    async def __aenter__(self):
-        self._task = asyncio.create_task(self._run())
-        return self
-
-    async def __aexit__(self, *_):
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
-
     def choose(self, callers: Callers) -> str:
         """Return a ready instance."""
         return callers.random.choice(self.ready)
--- a/tests/promises/callers.py
+++ b/tests/promises/callers.py
@@ -10,6 +10,7 @@
 from demo.cluster import Cluster
 from larkhoist.codes import Code
 from tests.checkers.requests import CallRecord, Violation, check_requests
+from tests.promises.background import Background
 
 __all__ = ["CUSTOMER", "NOT_CONNECTED", "Callers", "FaultLoop", "configure", "judge"]
 
@@ -97,7 +98,7 @@
         return await asyncio.gather(*(self.call(name, key) for name in names))
 
 
-class FaultLoop:
+class FaultLoop(Background):
     """Bring about faults at intervals while the callers run."""
 
     def __init__(
@@ -111,15 +112,6 @@
         self._counts = counts
         self._random = random.Random(seed)
         self._interval_s = interval_s
-        self._task: asyncio.Task | None = None
-
-    async def __aenter__(self):
-        self._task = asyncio.create_task(self._run())
-        return self
-
-    async def __aexit__(self, *_):
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
         while True:
--- a/tests/promises/test_configuration.py
+++ b/tests/promises/test_configuration.py
@@ -9,6 +9,7 @@
 from demo.cluster import wait_for
 from larkhoist.codes import Code
 from tests.checkers.revisions import RevisionSample, find_reversions
+from tests.promises.background import Background
 
 HALLS = ("hall-a", "hall-b", "hall-c")
 SHAPE = {"halls": HALLS, "instances": 2, "workers": 0, "runners": 0}
@@ -20,21 +21,12 @@
     return [name for hall in HALLS for name in cluster.get_instances(hall)]
 
 
-class Watcher:
+class Watcher(Background):
     """Sample the revision that every ready instance serves from."""
 
     def __init__(self, cluster):
         self.cluster = cluster
         self.samples = []
-        self._task = None
-
-    async def __aenter__(self):
-        self._task = asyncio.create_task(self._run())
-        return self
-
-    async def __aexit__(self, *_):
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self):
         while True:
