Let work without checkpoints in while workers are idle; log why work waits

Change: the bound counts only while half of the room is used, and after 2.4 s nothing waits for its rack there either; each change of why a phase waits is logged with what decided it.

--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -6,6 +6,7 @@
 from larkhoist.fleet.state import FleetState
 from larkhoist.fleet.task import ActiveJob, Phase
 from larkhoist.fleet.worker import FleetWorker
+from larkhoist.ports.fleet import Resources
 
 __all__ = ["place_waiting"]
 
@@ -22,6 +23,7 @@
         self.reserved: set[str] = set()
         self.reservations = 0
         self.room_without_checkpoints = _count_room(state, guarantees)
+        self.mostly_idle = _get_used_share(state) < state.policy.idle_share
 
     def run(self) -> None:
         waiting = []
@@ -33,24 +35,34 @@
                 waiting.append((rank, phase.id, active, phase))
         waiting.sort(key=lambda item: item[:2])
         for rank, _, active, phase in waiting:
-            self._place(rank[0], active, phase)
+            self._place(rank, active, phase)
 
     def _rank(self, active: ActiveJob, phase: Phase):
         state = self.state
         return rank_phase(active, phase, state.runtimes, state.policy, self.now_s)
 
-    def _place(self, tier: Tier, active: ActiveJob, phase: Phase) -> None:
+    def _place(self, rank, active: ActiveJob, phase: Phase) -> None:
         if phase.plan:
             self._place_planned(phase)
             return
-        workers = self._list_workers(tier, active, phase)
+        tier = rank[0]
+        policy = self.state.policy
+        waited_s = self.now_s - phase.waiting_since_s
+        anywhere = self.mostly_idle and waited_s >= policy.idle_wait_s
+        workers = self._list_workers(tier, anywhere, active, phase)
+        waiting = phase.get_waiting()
+        count = len(waiting)
+        if not self.mostly_idle:
+            count = min(count, self._count_allowed(active, phase, count))
         if not workers:
+            self._note_wait(phase, "no worker may run it", tier, workers)
             return
-        waiting = phase.get_waiting()
-        count = min(len(waiting), self._count_allowed(active, phase, len(waiting)))
-        if phase.spec.gang and count < len(phase.tasks):
+        if count == 0 or phase.spec.gang and count < len(phase.tasks):
+            self._note_wait(phase, "guarantees need the room", tier, workers)
             return
-        groups = group_workers(workers, phase.spec, len(phase.tasks))
+        groups = [workers]
+        if not anywhere:
+            groups = group_workers(workers, phase.spec, len(phase.tasks))
         places = find_places(
             groups, phase.spec, count, _count_taken(phase), lambda w: w.free
         )
@@ -58,12 +70,32 @@
             self._assign(active, phase, places)
         left = phase.get_waiting()
         if not left:
+            phase.wait_reason = ""
             return
+        self._note_wait(phase, "too little room", tier, workers)
         if tier in (Tier.FIRM, Tier.URGENT):
             self._make_room(active, phase, groups, workers)
         elif phase.spec.gang:
             self._reserve(tier, phase, groups)
 
+    def _note_wait(self, phase: Phase, reason: str, tier, workers) -> None:
+        if phase.wait_reason == reason:
+            return
+        phase.wait_reason = reason
+        self.state.note(
+            "waits",
+            job=phase.id.job_id,
+            run=phase.id.run,
+            step=phase.id.step,
+            reason=reason,
+            tier=tier.name.lower(),
+            tasks=len(phase.get_waiting()),
+            eligible_workers=len(workers),
+            free_accelerators=sum(w.free.accelerators for w in workers),
+            borrowable=self.room_without_checkpoints,
+            reserved_workers=len(self.reserved),
+        )
+
     def _assign(self, active: ActiveJob, phase: Phase, places: list[str]) -> None:
         chosen = phase.get_waiting()[: len(places)]
         if active.priority != 0 and not phase.spec.checkpoints:
@@ -72,7 +104,7 @@
         by_index = {task.index: name for task, name in zip(chosen, places, strict=True)}
         self.state.assign(phase, by_index, self.now_s)
 
-    def _list_workers(self, tier, active, phase) -> list[FleetWorker]:
+    def _list_workers(self, tier, anywhere, active, phase) -> list[FleetWorker]:
         state, now_s = self.state, self.now_s
         workers = list_eligible(
             state.workers.values(), active.job.terms.service, phase.spec, now_s
@@ -82,7 +114,7 @@
             worker
             for worker in workers
             if not state.quarantine.holds(worker.name, now_s)
-            and (tier <= Tier.URGENT or worker.name not in self.reserved)
+            and (anywhere or tier <= Tier.URGENT or worker.name not in self.reserved)
         ]
         return [w for w in kept if w.name not in failed] or kept
 
@@ -195,6 +227,23 @@
     return taken
 
 
+def _get_used_share(state: FleetState) -> float:
+    """Return the used share of what workers are shortest of."""
+    workers = [worker for worker in state.workers.values() if worker.listed]
+    used = sum((worker.used for worker in workers), Resources())
+    total = sum((worker.capacity for worker in workers), Resources())
+    shares = [
+        have / of
+        for have, of in (
+            (used.cpu_milli, total.cpu_milli),
+            (used.memory_mb, total.memory_mb),
+            (used.accelerators, total.accelerators),
+        )
+        if of
+    ]
+    return max(shares, default=1.0)
+
+
 def _count_room(state: FleetState, guarantees: dict[str, int]) -> int:
     total = sum(
         worker.capacity.accelerators
--- a/src/larkhoist/fleet/policy.py
+++ b/src/larkhoist/fleet/policy.py
@@ -11,7 +11,9 @@
 
     ``lease_s`` is the longest lease of a worker, ``clock_drift`` how much slower
     its clock may run, ``predecessor_s`` how long an owner that lost touch with the
-    log goes on renewing leases.
+    log goes on renewing leases. While less than ``idle_share`` of the workers'
+    room is used, guarantees keep nobody waiting, and nothing waits for longer than
+    ``idle_wait_s`` for a better place; the users allow 3 s at half of the room.
     """
 
     lease_s: float = 10.0
@@ -22,6 +24,8 @@
     gang_patience_s: float = 2.0
     full_pause_s: float = 0.5
     excess_work_ratio: float = 2.0
+    idle_share: float = 0.5
+    idle_wait_s: float = 2.4
     late_ratio: float = 3.0
 
     @property
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -26,7 +26,7 @@
 
 __all__ = ["FleetScheduler", "create_fleet_scheduler"]
 
-LOOK_INTERVAL_S = 1.0
+LOOK_INTERVAL_S = 0.5
 """How often waiting work is looked at while nothing changes."""
 
 
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -65,7 +65,8 @@
 class Phase:
     """Hold one step of one run; a gang that is ``closing`` waits for its members.
 
-    ``plan`` holds the workers whose room is kept while others stop there.
+    ``plan`` holds the workers whose room is kept while others stop there,
+    ``wait_reason`` what was logged last of why the phase waits.
     """
 
     id: PhaseId
@@ -76,6 +77,7 @@
     closing: bool = False
     failed_attempt: int = 0
     plan: dict[int, str] = field(default_factory=dict)
+    wait_reason: str = ""
 
     @property
     def is_done(self) -> bool:
