--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -151,7 +151,9 @@
         while True:
             await self._wake.wait()
             await self._ask()
-            if not self._busy and self._acknowledged >= self._to_acknowledge:
+            # A silent worker is asked on, since it takes no work until it answers.
+            idle = not self._busy and not self._silent
+            if idle and self._acknowledged >= self._to_acknowledge:
                 self._wake.clear()
 
     async def _ask(self) -> None:
--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -116,7 +116,10 @@
             if not state.quarantine.holds(worker.name, now_s)
             and (anywhere or tier <= Tier.URGENT or worker.name not in self.reserved)
         ]
-        return [w for w in kept if w.name not in failed] or kept
+        others = [worker for worker in kept if worker.name not in failed]
+        room = sum(w.capacity.count_fitting(phase.spec.need) for w in others)
+        # Where a task failed it is tried again only if the rest is too small.
+        return others if room >= len(phase.tasks) else kept
 
     def _count_allowed(self, active: ActiveJob, phase: Phase, wanted: int) -> int:
         """Bound what can't be stopped cheaply by what guarantees don't cover."""
--- /dev/null
+++ b/tests/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Prove the scheduler of staged jobs on a passed clock."""
--- /dev/null
+++ b/tests/fleet/cases.py
@@ -0,0 +1,58 @@
+"""Make jobs, workers and machines for the tests of staged jobs."""
+
+from larkhoist.jobs.spec import JobTerms, StagedJob, StepSpec
+from larkhoist.ports.fleet import Resources
+from tests.fleet.machine import START_MS, FleetMachine
+from tests.fleet.sim_worker import SimWorker, SimWorld
+
+__all__ = ["make_job", "make_machine", "make_workers"]
+
+ROOM = Resources(32_000, 64_000, 8)
+
+
+def make_job(
+    number: int,
+    *steps: StepSpec,
+    priority: int = 1,
+    customer: str = "ann",
+    max_attempts: int = 3,
+    submitted_s: float = 100.0,
+    target_ms: int = 1000,
+) -> StagedJob:
+    """Return a job whose id is its number."""
+    terms = JobTerms("service", priority, max_attempts, 3.0, target_ms)
+    submitted_ms = START_MS + int(submitted_s * 1000)
+    return StagedJob(
+        f"{number:016x}", "queue", customer, "text", steps, terms, submitted_ms
+    )
+
+
+def make_workers(count: int, per_rack: int = 4) -> list[SimWorker]:
+    """Return workers in racks; some clocks run slow."""
+    return [
+        SimWorker(f"w{n}", f"r{n // per_rack}", ROOM, 1.0 - 0.02 * (n % 2))
+        for n in range(count)
+    ]
+
+
+def make_machine(
+    count: int = 4,
+    jobs: tuple[StagedJob, ...] = (),
+    guarantees: dict[str, int] | None = None,
+    seed: int = 0,
+    work_s: float = 1.0,
+    fails=lambda task, worker: False,
+) -> FleetMachine:
+    """Return a machine that knows ``jobs`` without having accepted them."""
+    specs = {job.job_id: job for job in jobs}
+
+    def get_need(task: str) -> Resources:
+        job_id, _, step, _ = task.split(".")
+        return specs[job_id].steps[int(step)].need
+
+    world = SimWorld(make_workers(count), get_need, lambda _: work_s, fails)
+    for job in jobs:
+        for step, spec in enumerate(job.steps):
+            if spec.gang:
+                world.gangs[f"{job.job_id}.0.{step}"] = spec.count
+    return FleetMachine(world, guarantees or {}, seed)
--- /dev/null
+++ b/tests/fleet/test_scheduler.py
@@ -0,0 +1,216 @@
+"""Check single decisions of the scheduler of staged jobs."""
+
+from msgspec.structs import replace
+
+from larkhoist.codes import Code
+from larkhoist.jobs.spec import StepSpec
+from larkhoist.ports.task_worker import EndKind
+from tests.fleet.cases import make_job, make_machine
+from tests.fleet.checks import check_history, check_outcomes
+
+ONE = StepSpec(count=1, cpu_milli=1000, memory_mb=100, accelerators=1, estimate_ms=900)
+
+
+def get_code(machine, job) -> int | None:
+    outcome = machine.book.get(job.job_id).outcome
+    return outcome.code if outcome is not None else None
+
+
+def get_kinds(machine, job) -> list[EndKind | None]:
+    return [r.kind for r in machine.world.history if r.task.startswith(job.job_id)]
+
+
+def test_steps_run_one_after_the_other():
+    job = make_job(1, ONE, StepSpec(count=3, accelerators=2, depends_on=(0,)))
+    machine = make_machine(2, (job,))
+    machine.submit(job)
+    machine.run(6)
+    check_history(machine)
+    check_outcomes(machine)
+    assert len(machine.world.history) == 4
+
+
+def test_a_start_follows_its_record_on_the_log():
+    job = make_job(1, ONE)
+    machine = make_machine(1, (job,))
+    machine.submit(job)
+    machine.step()
+    assert not machine.world.history
+    machine.log_down = True
+    machine.run(2)
+    assert not machine.world.history
+    machine.log_down = False
+    machine.run(4)
+    check_outcomes(machine)
+
+
+def test_a_job_fails_when_its_attempts_are_used_up():
+    job = make_job(1, ONE, max_attempts=2)
+    machine = make_machine(3, (job,), fails=lambda task, worker: True)
+    machine.submit(job)
+    machine.run(10)
+    assert get_code(machine, job) == Code.JOB_FAILED
+    assert get_kinds(machine, job) == [EndKind.FAILED] * 2
+
+
+def test_a_task_is_tried_again_elsewhere():
+    job = make_job(1, ONE, max_attempts=2)
+    machine = make_machine(3, (job,), fails=lambda task, worker: worker == "w0")
+    machine.submit(job)
+    machine.run(10)
+    assert get_code(machine, job) == Code.JOB_FINISHED
+
+
+def test_a_gang_is_tried_again_where_it_failed_when_it_fits_nowhere_else():
+    # Found by the machine, seed 54: all workers but one were left out for good.
+    gang = StepSpec(count=3, accelerators=8, gang=True)
+    job = make_job(1, gang, max_attempts=2)
+    machine = make_machine(4, (job,), fails=lambda task, worker: True)
+    machine.submit(job)
+    machine.run(15)
+    assert get_code(machine, job) == Code.JOB_FAILED
+
+
+def test_a_gang_counts_one_failure_for_all_its_members():
+    gang = StepSpec(count=3, accelerators=1, gang=True)
+    job = make_job(1, gang, max_attempts=3)
+    machine = make_machine(2, (job,), fails=lambda task, worker: True)
+    machine.submit(job)
+    machine.run(15)
+    assert get_code(machine, job) == Code.JOB_FAILED
+    assert max(run.attempt for run in machine.world.history) == 3
+
+
+def test_a_gang_starts_whole_or_not_at_all():
+    gang = StepSpec(count=3, accelerators=8, gang=True)
+    job = make_job(1, gang)
+    machine = make_machine(2, (job,))
+    machine.submit(job)
+    machine.run(5)
+    assert not machine.world.history
+
+
+def test_a_rack_holds_a_gang_that_wants_one():
+    gang = StepSpec(count=4, accelerators=8, gang=True, same_rack=True)
+    job = make_job(1, gang)
+    machine = make_machine(8, (job,))
+    machine.submit(job)
+    machine.run(1)
+    racks = {machine.world.workers[r.worker].rack for r in machine.world.history}
+    assert len(racks) == 1
+
+
+def test_a_guaranteed_job_stops_what_is_borrowed():
+    borrowed = make_job(1, StepSpec(count=16, accelerators=1, checkpoints=True))
+    firm = make_job(2, StepSpec(count=1, accelerators=8, estimate_ms=900), priority=0)
+    machine = make_machine(2, (borrowed, firm), {"ann": 8}, work_s=20.0)
+    machine.submit(borrowed)
+    machine.run(1)
+    machine.submit(firm)
+    machine.run(2.5)
+    assert get_kinds(machine, firm) == [None]
+    assert get_kinds(machine, borrowed).count(EndKind.STOPPED) == 8
+
+
+def test_a_cancelled_job_is_stopped_everywhere():
+    job = make_job(1, StepSpec(count=3, accelerators=1))
+    machine = make_machine(2, (job,), work_s=30.0)
+    machine.submit(job)
+    machine.run(1)
+    machine.cancel(job.job_id)
+    machine.run(2)
+    assert get_kinds(machine, job) == [EndKind.STOPPED] * 3
+    assert get_code(machine, job) == Code.JOB_CANCELLED
+    assert not machine.owner.scheduler.state.jobs
+
+
+def test_what_runs_goes_on_under_a_new_owner():
+    job = make_job(1, StepSpec(count=3, accelerators=1))
+    machine = make_machine(2, (job,), work_s=4.0)
+    machine.submit(job)
+    machine.run(1)
+    machine.replace_owner()
+    machine.run(6)
+    check_outcomes(machine)
+    assert get_kinds(machine, job) == [EndKind.DONE] * 3
+
+
+def test_a_silent_worker_keeps_its_task_until_the_lease_is_over():
+    job = make_job(1, ONE)
+    machine = make_machine(2, (job,), work_s=60.0)
+    machine.submit(job)
+    machine.run(1)
+    first = machine.world.history[0]
+    machine.cut.add(first.worker)
+    machine.run(9)
+    assert len(machine.world.history) == 1
+    machine.run(4)
+    assert [run.attempt for run in machine.world.history] == [1, 2]
+    check_history(machine)
+
+
+def test_a_start_without_an_answer_is_stopped_before_the_next():
+    job = make_job(1, ONE)
+    machine = make_machine(2, (job,), seed=3)
+    machine.submit(job)
+    machine.lose_answers = 1.0
+    machine.run(1)
+    machine.lose_answers = 0.0
+    machine.run(12)
+    check_history(machine)
+    check_outcomes(machine)
+
+
+def test_nothing_waits_for_a_guarantee_while_workers_are_idle():
+    # A hunted day broke this: work that keeps no checkpoint stood still beside
+    # free workers, since guarantees covered nearly all of them.
+    job = make_job(1, StepSpec(count=2, accelerators=8, gang=True))
+    machine = make_machine(6, (job,), {"ann": 24, "bob": 24})
+    machine.submit(job)
+    machine.run(2)
+    assert machine.world.history
+
+
+def test_guarantees_bound_work_without_checkpoints_under_load():
+    load = make_job(1, StepSpec(count=24, accelerators=1, checkpoints=True))
+    job = make_job(2, StepSpec(count=2, accelerators=8, gang=True))
+    machine = make_machine(6, (load, job), {"ann": 24, "bob": 24}, work_s=20.0)
+    machine.submit(load)
+    machine.run(1)
+    machine.submit(job)
+    machine.run(5)
+    assert not get_kinds(machine, job)
+
+
+def test_a_scheduled_run_waits_for_its_time():
+    plain = make_job(1, ONE)
+    job = replace(
+        plain, runs=2, first_run_ms=plain.submitted_ms + 3000, interval_ms=2000
+    )
+    machine = make_machine(2, (job,), work_s=0.5)
+    machine.submit(job)
+    machine.run(10)
+    begins = [round(run.began_s - 100, 1) for run in machine.world.history]
+    assert len(begins) == 2
+    assert 3.0 <= begins[0] < 4.0
+    assert 5.0 <= begins[1] < 6.0
+    assert get_code(machine, job) == Code.JOB_FINISHED
+
+
+def test_a_long_running_task_is_started_again_however_it_ends():
+    job = make_job(1, StepSpec(count=1, accelerators=1, long_running=True))
+    machine = make_machine(2, (job,), fails=lambda task, worker: True, work_s=0.5)
+    machine.submit(job)
+    machine.run(8)
+    assert len(machine.world.history) > 3
+    assert get_code(machine, job) is None
+
+
+def test_a_job_that_ended_does_not_come_back_with_a_late_record():
+    job = make_job(1, ONE)
+    machine = make_machine(1, (job,), work_s=0.3)
+    machine.submit(job)
+    machine.run(3)
+    machine.submit(job)
+    machine.run(3)
+    assert len(machine.world.history) == 1
