--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -190,9 +190,12 @@
                 return
 
     async def _start(self, order: StartTask) -> None:
-        code = Code.WORKER_SILENT
+        code: Code | None = Code.ORDER_REFUSED
         for _ in range(self._times.start_tries):
             now_s = asyncio.get_running_loop().time()
+            # A start brings a lease for all that runs there, as a renewal does.
+            if not self._may_renew(self._name, now_s):
+                break
             result = await self._port.start_task(
                 StartOrder(
                     order.task,
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -98,9 +98,8 @@
             self.state.end_job(active, Code.JOB_CANCELLED, now_s, now_ms)
 
     def note_lease_sent(self, worker: str, now_s: float) -> None:
-        """Note that a lease is about to be renewed."""
-        found = self.state.workers[worker]
-        found.lease_end_s = max(found.lease_end_s, now_s + self.state.policy.lapse_s)
+        """Note that a renewal or a start is about to be sent."""
+        self.state.extend_lease(self.state.workers[worker], now_s)
 
     def note_silent(self, worker: str, silent: bool) -> None:
         """Note whether a worker answers."""
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -104,6 +104,7 @@
             task.saved_s = now_s
             task.settled_s = float("inf")
             self._occupy(phase, task, places[task.index])
+            self.extend_lease(self.workers[task.worker], now_s)
             self.round.starts.append(
                 StartTask(
                     task.worker,
@@ -204,6 +205,10 @@
         worker.tasks.add(task.name)
         worker.used += phase.spec.need
 
+    def extend_lease(self, worker: FleetWorker, now_s: float) -> None:
+        """Note that a call with a lease is about to be sent, or was decided on."""
+        worker.lease_end_s = max(worker.lease_end_s, now_s + self.policy.lapse_s)
+
     def _vacate(self, phase: Phase, task: Task) -> None:
         worker = self.workers.get(task.worker)
         if task.is_on_worker and worker is not None:
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -174,6 +174,7 @@
 
     def _send_start(self, owner: _Owner, start: StartTask) -> None:
         worker = self.world.workers[start.worker]
+        owner.scheduler.note_lease_sent(worker.name, self.now_s)
         order = StartOrder(
             start.task,
             start.attempt,
--- a/tests/fleet/test_interleavings.py
+++ b/tests/fleet/test_interleavings.py
@@ -9,7 +9,7 @@
 from tests.fleet.checks import check_history, check_outcomes
 from tests.fleet.machine import FleetMachine
 
-SEEDS = 60
+SEEDS = 100
 FAULTY_S = 40.0
 QUIET_S = 90.0
 
--- a/tests/fleet/test_scheduler.py
+++ b/tests/fleet/test_scheduler.py
@@ -214,3 +214,16 @@
     machine.submit(job)
     machine.run(3)
     assert len(machine.world.history) == 1
+
+
+def test_a_start_on_a_worker_that_was_idle_for_long_brings_a_lease():
+    # Found by the machine, seed 36: the lease of an idle worker was over, so that
+    # what had just started there was taken as gone and started again.
+    jobs = (make_job(1, ONE), make_job(2, ONE))
+    machine = make_machine(1, jobs, work_s=3.0)
+    machine.submit(jobs[0])
+    machine.run(40)
+    machine.submit(jobs[1])
+    machine.run(6)
+    check_history(machine)
+    assert len(machine.world.history) == 2
