--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -25,6 +25,7 @@
 from larkhoist.fleet.effects import Round, StartTask
 from larkhoist.fleet.policy import FleetPolicy
 from larkhoist.fleet.scheduler import FleetScheduler, create_fleet_scheduler
+from larkhoist.fleet.task import TaskState
 from larkhoist.jobs.book import JobBook
 from larkhoist.jobs.records import (
     JOB_STREAM,
@@ -133,6 +134,26 @@
         """Have the configuration read and decide again."""
         self._wake.set()
 
+    def knows_leaving(self, worker: str) -> bool:
+        """Tell whether a worker is known to leave."""
+        if self.scheduler is None:
+            return False
+        found = self.scheduler.state.workers.get(worker)
+        return found is not None and found.leaving
+
+    def measure(self) -> dict[str, float]:
+        """Return the gauges of the scheduler."""
+        if self.scheduler is None:
+            return {}
+        tasks = [t for _, p in self.scheduler.state.iter_phases() for t in p.tasks]
+        return {
+            "fleet_running": float(sum(task.is_on_worker for task in tasks)),
+            "fleet_waiting": float(
+                sum(task.state is TaskState.WAITING for task in tasks)
+            ),
+            "fleet_workers": float(len(self.scheduler.state.workers)),
+        }
+
     # Taking over.
 
     async def _run(self) -> None:
--- a/src/larkhoist/control/scheduler_node.py
+++ b/src/larkhoist/control/scheduler_node.py
@@ -151,6 +151,29 @@
         """Tell whether records have been waiting for the log for long."""
         return self._writer.get_delay_s(now_s) > READY_AGE_S / 2
 
+    def knows_leaving(self, worker: str) -> bool:
+        """Tell whether this instance, as the owner, knows that a worker leaves."""
+        return self.owner is not None and self.owner.knows_leaving(worker)
+
+    def measure(self) -> dict[str, float]:
+        """Return the gauges of the metrics page."""
+        now_s = asyncio.get_running_loop().time()
+        catalog = self.catalog.catalog
+        counts = {"fleet_running": 0.0, "fleet_waiting": 0.0, "fleet_workers": 0.0}
+        if self.owner is not None:
+            counts = self.owner.measure()
+        return {
+            **counts,
+            "fleet_term": float(self.term),
+            "fleet_jobs": float(len(self.book.entries)),
+            "fleet_config_version": float(catalog.version if catalog else 0),
+            "fleet_config_age_s": now_s - self._catalog_follower.synced_s,
+            "fleet_state_age_s": now_s - self._book_follower.synced_s,
+            "fleet_append_delay_s": self._writer.get_delay_s(now_s),
+            "log_offset": float(self._book_follower.position),
+            "ready": float(self.is_ready(now_s)),
+        }
+
     def hand_over_book(self) -> None:
         """Let the owner see jobs that came while the stream's history was gone."""
         if self.owner is not None:
