Decide less often and more cheaply

Change: amounts as msgspec structs, needs and free room kept instead of summed, shapes that found no room are not tried again in the same pass, the list of workers is taken over only when it changed, and the owner rests for 1.5 times what a step took, so that messages are taken together. Reasons for waiting are logged once for each wait.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -43,6 +43,8 @@
 OWNER_WRITER = "owner"
 LOOK_S = 0.25
 """How often leases and stops are looked at while nothing happens."""
+REST_RATIO = 1.5
+"""How long the owner rests after a step, in times of what the step took."""
 STUCK_S = 1.0
 """How long records may wait for the log before no new decision is made."""
 TAKEOVER_TIMEOUT_S = 2.0
@@ -87,6 +89,8 @@
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
         self._rounds: set[asyncio.Task] = set()
+        self._roster_version = -1
+        self._catalog_version = -1
 
     async def start(self) -> None:
         """Begin to take over."""
@@ -170,7 +174,12 @@
             if self._writer.fenced:
                 self._give_up("a newer term wrote to the log")
                 return
+            began_s, _ = _get_times()
             self._step()
+            took_s = _get_times()[0] - began_s
+            # What comes meanwhile is taken together, so that deciding leaves most
+            # of the processor to callers and workers.
+            await asyncio.sleep(REST_RATIO * took_s)
 
     def _get_pause_s(self) -> float:
         now_s, _ = _get_times()
@@ -213,21 +222,26 @@
     def _step(self) -> None:
         now_s, now_ms = _get_times()
         scheduler = self.scheduler
-        scheduler.take_list(self._roster.list_entries(), now_s)
-        self._match_sessions()
+        if self._roster_version != self._roster.version:
+            self._roster_version = self._roster.version
+            scheduler.take_list(self._roster.list_entries(), now_s)
+            self._match_sessions()
         inbox, self._inbox = self._inbox, []
         for message in inbox:
             self._take_message(message, now_s, now_ms)
-        if self._catalog.catalog is not None:
-            scheduler.set_guarantees(self._catalog.catalog.get_guarantees())
+        self._take_catalog()
         if self._writer.get_delay_s(now_s) > STUCK_S:
             return
         self._carry_out(scheduler.decide(now_s, now_ms))
-        for name, session in self._sessions.items():
-            session.set_busy(scheduler.needs_lease(name))
+        self._update_sessions()
+
+    def _take_catalog(self) -> None:
+        catalog = self._catalog.catalog
+        if catalog is not None and catalog.version != self._catalog_version:
+            self._catalog_version = catalog.version
+            self.scheduler.set_guarantees(catalog.get_guarantees())
 
     def _match_sessions(self) -> None:
-        workers = self.scheduler.state.workers
         for name, heard in self._roster.workers.items():
             if name not in self._sessions:
                 session = WorkerSession(
@@ -242,8 +256,14 @@
                 )
                 self._sessions[name] = session
                 self._spawn(session.start())
-        for name in [n for n in self._sessions if n not in workers]:
-            self._spawn(self._sessions.pop(name).close())
+
+    def _update_sessions(self) -> None:
+        workers = self.scheduler.state.workers
+        for name, session in list(self._sessions.items()):
+            if name in workers:
+                session.set_busy(bool(workers[name].tasks))
+            else:
+                self._spawn(self._sessions.pop(name).close())
 
     def _note_lease(self, worker: str, now_s: float) -> bool:
         if not self._may_renew_leases(now_s):
--- a/src/larkhoist/control/roster_keeper.py
+++ b/src/larkhoist/control/roster_keeper.py
@@ -22,20 +22,23 @@
 
 
 class RosterKeeper:
-    """Hold the entries by name."""
+    """Hold the entries by name; ``version`` changes with them."""
 
     def __init__(self, decode: Callable[[StoredRecord], ListedTaskWorker | None]):
         self._decode = decode
         self.workers: dict[str, HeardWorker] = {}
+        self.version = 0
 
     def replace(self, records: Iterable[StoredRecord]) -> None:
         """Start anew from the newest record of each key."""
         self.workers = {}
+        self.version += 1
         for record in records:
             self.apply(record)
 
     def apply(self, record: StoredRecord) -> None:
         """Take one record; one without a value takes the worker off the list."""
+        self.version += 1
         entry = self._decode(record)
         if entry is None:
             self.workers.pop(record.key, None)
--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -22,6 +22,13 @@
         self.now_s = now_s
         self.reserved: set[str] = set()
         self.reservations = 0
+        self.failed: set[tuple] = set()
+        self.usable = [
+            worker
+            for worker in state.workers.values()
+            if worker.is_usable(now_s)
+            and not state.quarantine.holds(worker.name, now_s)
+        ]
         self.room_without_checkpoints = _count_room(state, guarantees)
         self.mostly_idle = _get_used_share(state) < state.policy.idle_share
 
@@ -60,6 +67,11 @@
         if count == 0 or phase.spec.gang and count < len(phase.tasks):
             self._note_wait(phase, "guarantees need the room", tier, workers)
             return
+        # Room only shrinks within a pass: what found none finds none again.
+        shape = _get_shape(active, phase, tier, anywhere, count)
+        if shape in self.failed:
+            self._note_wait(phase, "too little room", tier, workers)
+            return
         groups = [workers]
         if not anywhere:
             groups = group_workers(workers, phase.spec, len(phase.tasks))
@@ -70,18 +82,20 @@
             self._assign(active, phase, places)
         left = phase.get_waiting()
         if not left:
-            phase.wait_reason = ""
+            phase.wait_reasons.clear()
             return
         self._note_wait(phase, "too little room", tier, workers)
+        if not places and tier > Tier.URGENT:
+            self.failed.add(shape)
         if tier in (Tier.FIRM, Tier.URGENT):
             self._make_room(active, phase, groups, workers)
         elif phase.spec.gang:
             self._reserve(tier, phase, groups)
 
     def _note_wait(self, phase: Phase, reason: str, tier, workers) -> None:
-        if phase.wait_reason == reason:
+        if reason in phase.wait_reasons:
             return
-        phase.wait_reason = reason
+        phase.wait_reasons.add(reason)
         self.state.note(
             "waits",
             job=phase.id.job_id,
@@ -105,19 +119,15 @@
         self.state.assign(phase, by_index, self.now_s)
 
     def _list_workers(self, tier, anywhere, active, phase) -> list[FleetWorker]:
-        state, now_s = self.state, self.now_s
-        workers = list_eligible(
-            state.workers.values(), active.job.terms.service, phase.spec, now_s
-        )
+        workers = list_eligible(self.usable, active.job.terms.service, phase.spec)
         failed = {name for task in phase.tasks for name in task.failed_on}
         kept = [
             worker
             for worker in workers
-            if not state.quarantine.holds(worker.name, now_s)
-            and (anywhere or tier <= Tier.URGENT or worker.name not in self.reserved)
+            if (anywhere or tier <= Tier.URGENT or worker.name not in self.reserved)
         ]
         others = [worker for worker in kept if worker.name not in failed]
-        room = sum(w.capacity.count_fitting(phase.spec.need) for w in others)
+        room = sum(w.capacity.count_fitting(phase.need) for w in others)
         # Where a task failed it is tried again only if the rest is too small.
         return others if room >= len(phase.tasks) else kept
 
@@ -187,7 +197,7 @@
         if lost or set(phase.plan) != {t.index for t in phase.get_waiting()}:
             state.drop_plan(phase)
             return
-        need = phase.spec.need
+        need = phase.need
         wanted = {w.name: sum(o is w for o in workers) for w in workers}
         for worker in workers:
             room = worker.capacity - worker.used
@@ -211,7 +221,7 @@
         for worker in sorted(group, key=lambda w: -w.free.accelerators):
             if room >= len(phase.tasks):
                 break
-            room += worker.capacity.count_fitting(phase.spec.need)
+            room += worker.capacity.count_fitting(phase.need)
             self.reserved.add(worker.name)
 
 
@@ -220,6 +230,23 @@
     _Pass(state, guarantees, now_s).run()
 
 
+def _get_shape(active, phase: Phase, tier: Tier, anywhere: bool, count: int) -> tuple:
+    """Return what decides whether room is found; a part of a gang finds none."""
+    spec = phase.spec
+    failed = frozenset(name for task in phase.tasks for name in task.failed_on)
+    return (
+        active.job.terms.service,
+        phase.need,
+        spec.label,
+        spec.data_rack,
+        spec.spread_limit and phase.id,
+        (spec.same_rack, count) if spec.gang else 0,
+        anywhere,
+        tier > Tier.URGENT,
+        failed,
+    )
+
+
 def _count_taken(phase: Phase) -> dict[str, int]:
     taken: dict[str, int] = {}
     if not phase.spec.spread_limit:
--- a/src/larkhoist/fleet/placing.py
+++ b/src/larkhoist/fleet/placing.py
@@ -17,16 +17,16 @@
 
 
 def list_eligible(
-    workers: Iterable[FleetWorker], service: str, spec: StepSpec, now_s: float
+    workers: Iterable[FleetWorker], service: str, spec: StepSpec
 ) -> list[FleetWorker]:
-    """Return the usable workers that may run the step at all."""
+    """Return those of the usable workers that may run the step at all."""
+    need = spec.need
     return [
         worker
         for worker in workers
         if worker.service == service
-        and worker.is_usable(now_s)
         and (not spec.label or spec.label in worker.labels)
-        and worker.capacity.count_fitting(spec.need) > 0
+        and worker.capacity.count_fitting(need) > 0
     ]
 
 
@@ -74,9 +74,10 @@
 
 def _fill(group, spec, count, taken, get_free) -> tuple[list[str], int]:
     rooms = []
+    need = spec.need
     for worker in group:
         free = get_free(worker)
-        fitting = free.count_fitting(spec.need)
+        fitting = free.count_fitting(need)
         if spec.spread_limit:
             fitting = min(fitting, spec.spread_limit - taken.get(worker.name, 0))
         if fitting > 0:
@@ -93,8 +94,9 @@
 
 def _count_capacity(workers: list[FleetWorker], spec: StepSpec) -> int:
     total = 0
+    need = spec.need
     for worker in workers:
-        fitting = worker.capacity.count_fitting(spec.need)
+        fitting = worker.capacity.count_fitting(need)
         if spec.spread_limit:
             fitting = min(fitting, spec.spread_limit)
         total += fitting
--- a/src/larkhoist/fleet/preemption.py
+++ b/src/larkhoist/fleet/preemption.py
@@ -105,7 +105,7 @@
 def _gain(gained: dict[str, Resources], victim: Victim, sign: int) -> None:
     for task in victim.tasks:
         have = gained.get(task.worker, Resources())
-        gained[task.worker] = have + victim.phase.spec.need.scale(sign)
+        gained[task.worker] = have + victim.phase.need.scale(sign)
 
 
 def _find(group, spec, count, gained) -> list[str]:
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -208,7 +208,8 @@
         inherited_s = self._began_s + self._get_inherited_s()
         worker = create_worker(entry, inherited_s)
         if kept is not None:
-            worker.used, worker.tasks = kept.used, kept.tasks
+            worker.use(kept.used)
+            worker.tasks = kept.tasks
             worker.seen = kept.seen
         self.state.workers[entry.name] = worker
         self._update_worker(worker, entry, now_s)
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -162,14 +162,14 @@
         for name in phase.plan.values():
             worker = self.workers.get(name)
             if worker is not None:
-                worker.held -= phase.spec.need
+                worker.drop_hold(phase.need)
         phase.plan = {}
 
     def keep_plan(self, phase: Phase, places: dict[int, str]) -> None:
         """Keep room for a phase while others stop."""
         phase.plan = places
         for name in places.values():
-            self.workers[name].held += phase.spec.need
+            self.workers[name].hold(phase.need)
 
     def touch(self, phase: Phase) -> None:
         """Have the phase's progress kept on the log."""
@@ -203,7 +203,7 @@
         task.worker = name
         worker = self.workers[name]
         worker.tasks.add(task.name)
-        worker.used += phase.spec.need
+        worker.use(phase.need)
 
     def extend_lease(self, worker: FleetWorker, now_s: float) -> None:
         """Note that a call with a lease is about to be sent, or was decided on."""
@@ -213,7 +213,7 @@
         worker = self.workers.get(task.worker)
         if task.is_on_worker and worker is not None:
             worker.tasks.discard(task.name)
-            worker.used -= phase.spec.need
+            worker.give_back(phase.need)
         self.changed = True
 
     def _close_gang(self, phase: Phase, now_s: float) -> None:
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -5,6 +5,7 @@
 
 from larkhoist.jobs.records import PhaseId, PhaseProgress, TaskProgress
 from larkhoist.jobs.spec import StagedJob, StepSpec, make_task_name
+from larkhoist.ports.fleet import Resources
 
 __all__ = ["ActiveJob", "Phase", "Task", "TaskState", "create_phase"]
 
@@ -66,7 +67,7 @@
     """Hold one step of one run; a gang that is ``closing`` waits for its members.
 
     ``plan`` holds the workers whose room is kept while others stop there,
-    ``wait_reason`` what was logged last of why the phase waits.
+    ``wait_reasons`` what was logged of why the phase waits.
     """
 
     id: PhaseId
@@ -77,7 +78,11 @@
     closing: bool = False
     failed_attempt: int = 0
     plan: dict[int, str] = field(default_factory=dict)
-    wait_reason: str = ""
+    wait_reasons: set[str] = field(default_factory=set)
+    need: Resources = field(init=False)
+
+    def __post_init__(self):
+        self.need = self.spec.need
 
     @property
     def is_done(self) -> bool:
--- a/src/larkhoist/fleet/worker.py
+++ b/src/larkhoist/fleet/worker.py
@@ -11,7 +11,8 @@
 class FleetWorker:
     """Hold a worker's room and how much is known of it; times are steady seconds.
 
-    ``held`` is kept for tasks that wait until others have stopped. After
+    ``free`` is what neither runs nor is held for tasks that wait until others have
+    stopped; held room makes it negative while the others still run. After
     ``lease_end_s`` nothing runs there unless a lease was renewed.
     """
 
@@ -28,14 +29,31 @@
     silent: bool = False
     full_until_s: float = float("-inf")
     used: Resources = field(default_factory=Resources)
-    held: Resources = field(default_factory=Resources)
     tasks: set[str] = field(default_factory=set)
     seen: int = 0
 
-    @property
-    def free(self) -> Resources:
-        """Return what neither runs nor is held."""
-        return self.capacity - self.used - self.held
+    free: Resources = field(init=False)
+
+    def __post_init__(self):
+        self.free = self.capacity
+
+    def use(self, need: Resources) -> None:
+        """Take room for a task that may run."""
+        self.used += need
+        self.free -= need
+
+    def give_back(self, need: Resources) -> None:
+        """Give back the room of a task that surely does not run."""
+        self.used -= need
+        self.free += need
+
+    def hold(self, need: Resources) -> None:
+        """Keep room that others still use."""
+        self.free -= need
+
+    def drop_hold(self, need: Resources) -> None:
+        """Give back room that was kept."""
+        self.free += need
 
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new tasks may go there."""
--- a/src/larkhoist/ports/fleet.py
+++ b/src/larkhoist/ports/fleet.py
@@ -2,11 +2,16 @@
 
 from dataclasses import dataclass
 
+import msgspec
+
 __all__ = ["ListedTaskWorker", "Resources"]
 
 
-@dataclass(frozen=True, slots=True)
-class Resources:
+UNBOUNDED = 1_000_000
+"""Stands for how often something that takes no room fits."""
+
+
+class Resources(msgspec.Struct, frozen=True, gc=False):
     """Hold an amount of processor (thousandths of a core), memory, accelerators."""
 
     cpu_milli: int = 0
@@ -35,16 +40,14 @@
 
     def count_fitting(self, each: "Resources") -> int:
         """Return how often ``each`` fits into this amount, 0 at least."""
-        limits = [
-            have // need
-            for have, need in (
-                (self.cpu_milli, each.cpu_milli),
-                (self.memory_mb, each.memory_mb),
-                (self.accelerators, each.accelerators),
-            )
-            if need > 0
-        ]
-        return max(0, min(limits, default=1_000_000))
+        count = UNBOUNDED
+        if each.cpu_milli:
+            count = self.cpu_milli // each.cpu_milli
+        if each.memory_mb:
+            count = min(count, self.memory_mb // each.memory_mb)
+        if each.accelerators:
+            count = min(count, self.accelerators // each.accelerators)
+        return max(0, count)
 
 
 @dataclass(frozen=True, slots=True)
