Let urgent gangs take the fastest rack that has room

Change: the factor of a rack is learned from ended tasks against the mean of their queue, and of racks with room an urgent gang takes the fastest. How workers are filled within a rack stays as it was.

--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -1,5 +1,7 @@
 """Give waiting phases their workers, the most pressing first."""
 
+import math
+
 from larkhoist.fleet.placing import find_places, group_workers, list_eligible
 from larkhoist.fleet.preemption import Victim, choose_victims, list_victims
 from larkhoist.fleet.ranking import Tier, rank_phase
@@ -10,6 +12,8 @@
 
 __all__ = ["place_waiting"]
 
+PACE_STEP = math.log(1.2)
+"""Racks whose times differ by less than this count as equally fast; a guess."""
 MAX_RESERVATIONS = 2
 """How many waiting gangs keep workers to themselves at once; a guess."""
 
@@ -76,7 +80,12 @@
         if not anywhere:
             groups = group_workers(workers, phase.spec, len(phase.tasks))
         places = find_places(
-            groups, phase.spec, count, _count_taken(phase), lambda w: w.free
+            groups,
+            phase.spec,
+            count,
+            _count_taken(phase),
+            lambda worker: worker.free,
+            self._get_pace if tier <= Tier.URGENT else None,
         )
         if places:
             self._assign(active, phase, places)
@@ -92,6 +101,9 @@
         elif phase.spec.gang:
             self._reserve(tier, phase, groups)
 
+    def _get_pace(self, worker: FleetWorker) -> int:
+        return round(math.log(self.state.speeds.get_factor(worker.rack)) / PACE_STEP)
+
     def _note_wait(self, phase: Phase, reason: str, tier, workers) -> None:
         if reason in phase.wait_reasons:
             return
--- a/src/larkhoist/fleet/placing.py
+++ b/src/larkhoist/fleet/placing.py
@@ -14,6 +14,7 @@
 __all__ = ["find_places", "group_workers", "list_eligible"]
 
 GetFree = Callable[[FleetWorker], Resources]
+GetPace = Callable[[FleetWorker], int]
 
 
 def list_eligible(
@@ -56,19 +57,24 @@
     count: int,
     taken: dict[str, int],
     get_free: GetFree,
+    get_pace: GetPace | None = None,
 ) -> list[str]:
     """Return workers for up to ``count`` tasks; all of them or none for a gang.
 
+    With ``get_pace``, of several groups those of a lower pace go first.
+
     ``taken`` counts the tasks of the phase that are on a worker already.
     """
     best: list[str] = []
-    best_left = float("inf")
+    best_key = (0, 0, 0)
     for group in groups:
         places, left = _fill(group, spec, count, taken, get_free)
         if spec.gang and len(places) < count:
             continue
-        if (-len(places), left) < (-len(best), best_left):
-            best, best_left = places, left
+        pace = get_pace(group[0]) if get_pace is not None and group else 0
+        key = (-len(places), pace, left)
+        if places and (not best or key < best_key):
+            best, best_key = places, key
     return best
 
 
--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -112,7 +112,10 @@
     state.quarantine.note_success(worker.name)
     if task.state is TaskState.RUNNING and not task.checkpoint:
         queue = state.jobs[phase.id.job_id].job.queue
-        state.runtimes.note(queue, now_s - task.began_s)
+        took_s = now_s - task.began_s
+        expected_s = state.runtimes.predict(queue, phase.spec.estimate_ms)
+        state.speeds.note(worker.rack, took_s, expected_s)
+        state.runtimes.note(queue, took_s)
     if phase.spec.long_running:
         state.release(phase, task, now_s)
         return
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -10,6 +10,7 @@
 from larkhoist.fleet.effects import Note, Round, StartTask, StopTask
 from larkhoist.fleet.policy import FleetPolicy
 from larkhoist.fleet.runtimes import QueueRuntimes
+from larkhoist.fleet.speeds import RackSpeeds
 from larkhoist.fleet.task import ActiveJob, Phase, Task, TaskState, create_phase
 from larkhoist.fleet.worker import FleetWorker
 from larkhoist.jobs.book import BookEntry
@@ -27,6 +28,7 @@
         self.workers: dict[str, FleetWorker] = {}
         self.jobs: dict[str, ActiveJob] = {}
         self.runtimes = QueueRuntimes()
+        self.speeds = RackSpeeds()
         self.quarantine = Quarantine()
         self.round = Round()
         self.changed = True
--- a/tests/fleet/test_scheduler.py
+++ b/tests/fleet/test_scheduler.py
@@ -227,3 +227,16 @@
     machine.run(6)
     check_history(machine)
     assert len(machine.world.history) == 2
+
+
+def test_an_urgent_gang_takes_the_fastest_rack_with_room():
+    gang = StepSpec(count=2, accelerators=8, gang=True, same_rack=True)
+    job = make_job(1, gang, priority=0)
+    machine = make_machine(8, (job,), {"ann": 16})
+    for _ in range(10):
+        machine.owner.scheduler.state.speeds.note("r0", 3.0, 1.5)
+        machine.owner.scheduler.state.speeds.note("r1", 1.0, 1.5)
+    machine.submit(job)
+    machine.run(1)
+    racks = {machine.world.workers[r.worker].rack for r in machine.world.history}
+    assert racks == {"r1"}
