Leave free what urgent work needed at its peak of late

Cause: on a grown site 1,989 stops for urgent work stood against 1,504 starts; urgent jobs waited for those stops and work was thrown away.

Change: other work may use free accelerators only beyond the difference between the remembered peak of urgent demand and its present use; not while idle.

--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -6,7 +6,7 @@
 from larkhoist.fleet.preemption import Victim, choose_victims, list_victims
 from larkhoist.fleet.ranking import Tier, rank_phase
 from larkhoist.fleet.state import FleetState
-from larkhoist.fleet.task import ActiveJob, Phase
+from larkhoist.fleet.task import ActiveJob, Phase, TaskState
 from larkhoist.fleet.worker import FleetWorker
 from larkhoist.ports.fleet import Resources
 
@@ -34,6 +34,11 @@
             and not state.quarantine.holds(worker.name, now_s)
         ]
         self.room_without_checkpoints = _count_room(state, guarantees)
+        used = _count_urgent(state, now_s)
+        state.urgent_demand.note(used, now_s)
+        growth = state.urgent_demand.get_peak(now_s) - used
+        free = sum(max(0, worker.free.accelerators) for worker in self.usable)
+        self.open_accelerators = free - int(growth)
         self.mostly_idle = _get_used_share(state) < state.policy.idle_share
 
     def run(self) -> None:
@@ -124,8 +129,9 @@
 
     def _assign(self, active: ActiveJob, phase: Phase, places: list[str]) -> None:
         chosen = phase.get_waiting()[: len(places)]
+        taken = phase.spec.accelerators * len(places)
+        self.open_accelerators -= taken
         if active.priority != 0 and not phase.spec.checkpoints:
-            taken = phase.spec.accelerators * len(places)
             self.room_without_checkpoints -= taken
         by_index = {task.index: name for task, name in zip(chosen, places, strict=True)}
         self.state.assign(phase, by_index, self.now_s)
@@ -144,11 +150,17 @@
         return others if room >= len(phase.tasks) else kept
 
     def _count_allowed(self, active: ActiveJob, phase: Phase, wanted: int) -> int:
-        """Bound what can't be stopped cheaply by what guarantees don't cover."""
+        """Bound other work by what urgent work may need.
+
+        What can't be stopped cheaply is bounded by the guarantees as well.
+        """
         spec = phase.spec
-        if active.priority == 0 or spec.checkpoints or not spec.accelerators:
+        if active.priority == 0 or not spec.accelerators:
             return wanted
-        return max(0, self.room_without_checkpoints) // spec.accelerators
+        room = self.open_accelerators
+        if not spec.checkpoints:
+            room = min(room, self.room_without_checkpoints)
+        return max(0, room) // spec.accelerators
 
     # Room that is made by stopping others.
 
@@ -269,6 +281,16 @@
     return taken
 
 
+def _count_urgent(state: FleetState, now_s: float) -> int:
+    """Return how many accelerators urgent jobs use or want now."""
+    total = 0
+    for active, phase in state.iter_phases():
+        if active.priority == 0 and not active.ended and now_s >= phase.due_s:
+            left = sum(task.state is not TaskState.DONE for task in phase.tasks)
+            total += left * phase.spec.accelerators
+    return total
+
+
 def _get_used_share(state: FleetState) -> float:
     """Return the used share of what workers are shortest of."""
     workers = [worker for worker in state.workers.values() if worker.listed]
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -8,6 +8,7 @@
 
 from larkhoist.codes import Code
 from larkhoist.fleet.effects import Note, Round, StartTask, StopTask
+from larkhoist.fleet.headroom import UrgentDemand
 from larkhoist.fleet.policy import FleetPolicy
 from larkhoist.fleet.runtimes import QueueRuntimes
 from larkhoist.fleet.speeds import RackSpeeds
@@ -30,6 +31,7 @@
         self.runtimes = QueueRuntimes()
         self.speeds = RackSpeeds()
         self.quarantine = Quarantine()
+        self.urgent_demand = UrgentDemand()
         self.round = Round()
         self.changed = True
         self._tasks: dict[str, tuple[Phase, Task]] = {}
