--- a/src/larkhoist/control/scheduler_node.py
+++ b/src/larkhoist/control/scheduler_node.py
@@ -193,6 +193,7 @@
         policy = FleetPolicy(
             lease_s=self._settings.lease_s,
             predecessor_s=self._tenure_times.predecessor_s,
+            stop_s=self._settings.stop_s,
         )
         roster = RosterKeeper(self._decode_worker)
         roster_follower = StreamFollower(
--- a/src/larkhoist/control/settings.py
+++ b/src/larkhoist/control/settings.py
@@ -11,7 +11,8 @@
     """Hold times in seconds; most follow from the platform's bounds.
 
     ``lease_s`` is the longest lease that workers grant, ``apply_s`` how soon a
-    configuration must be in force, ``drain_s`` how long a stop may take.
+    configuration must be in force, ``drain_s`` how long a stop of
+    an instance may take, ``stop_s`` how long a worker may take to stop a task.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -21,4 +22,5 @@
     lease_s: Positive = 10.0
     apply_s: Positive = 2.0
     drain_s: Positive = 6.0
+    stop_s: Positive = 0.9
     log: LogSettings = LogSettings()
--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -61,7 +61,7 @@
         if phase.plan:
             self._place_planned(phase)
             return
-        tier = rank[0]
+        tier, latest_s, _ = rank
         policy = self.state.policy
         waited_s = self.now_s - phase.waiting_since_s
         anywhere = self.mostly_idle and waited_s >= policy.idle_wait_s
@@ -102,7 +102,8 @@
         if not places and tier > Tier.URGENT:
             self.failed.add(shape)
         if tier in (Tier.FIRM, Tier.URGENT):
-            self._make_room(active, phase, groups, workers)
+            timely = self.now_s + policy.stop_s <= latest_s
+            self._make_room(active, phase, groups, workers, timely)
         elif phase.spec.gang:
             self._reserve(tier, phase, groups)
 
@@ -164,7 +165,7 @@
 
     # Room that is made by stopping others.
 
-    def _make_room(self, active, phase, groups, workers) -> None:
+    def _make_room(self, active, phase, groups, workers, timely: bool) -> None:
         count = len(phase.get_waiting())
         victims = list_victims(
             [p for _, p in self.state.iter_phases()],
@@ -177,7 +178,7 @@
         if found is None:
             return
         places, chosen = found
-        if not active.firm and not self._is_worth(phase, chosen):
+        if not active.firm and not self._is_worth(phase, chosen, timely):
             return
         by_index = {
             task.index: name
@@ -193,12 +194,14 @@
             return False
         return holder.priority != 0 or active.firm
 
-    def _is_worth(self, phase: Phase, victims: list[Victim]) -> bool:
+    def _is_worth(self, phase: Phase, victims: list[Victim], timely: bool) -> bool:
         work_s = phase.spec.estimate_ms / 1000
         cores = phase.spec.cpu_milli / 1000 + 8 * phase.spec.accelerators
         gain = cores * work_s * len(phase.tasks)
         cost = sum(victim.cost for victim in victims)
-        return cost <= gain * self.state.policy.excess_work_ratio
+        policy = self.state.policy
+        ratio = policy.timely_work_ratio if timely else policy.late_work_ratio
+        return cost <= gain * ratio
 
     def _stop_victim(self, phase: Phase, victim: Victim) -> None:
         self.state.note(
--- a/src/larkhoist/fleet/policy.py
+++ b/src/larkhoist/fleet/policy.py
@@ -11,9 +11,16 @@
 
     ``lease_s`` is the longest lease of a worker, ``clock_drift`` how much slower
     its clock may run, ``predecessor_s`` how long an owner that lost touch with the
-    log goes on renewing leases. While less than ``idle_share`` of the workers'
-    room is used, guarantees keep nobody waiting, and nothing waits for longer than
-    ``idle_wait_s`` for a better place; the users allow 3 s at half of the room.
+    log goes on renewing leases, ``stop_s`` how long a worker may take to stop.
+
+    Urgent work beyond a guarantee may throw away ``timely_work_ratio`` times its
+    own work where it is still in time after the stops, else ``late_work_ratio``: by
+    the users' prices it earns some 3.6 times what redoing as much work costs, and a
+    fifth of that when late.
+
+    While less than ``idle_share`` of the workers' room is used, guarantees keep
+    nobody waiting, and nothing waits for longer than ``idle_wait_s`` for a better
+    place; the users allow 3 s at half of the room.
     """
 
     lease_s: float = 10.0
@@ -23,7 +30,9 @@
     resend_stop_s: float = 0.7
     gang_patience_s: float = 2.0
     full_pause_s: float = 0.5
-    excess_work_ratio: float = 2.0
+    stop_s: float = 0.9
+    timely_work_ratio: float = 3.0
+    late_work_ratio: float = 0.5
     idle_share: float = 0.5
     idle_wait_s: float = 2.4
     late_ratio: float = 3.0
