--- /dev/null
+++ b/tests/control/memory_log.py
@@ -0,0 +1,84 @@
+"""Stand in for the platform's keyed log in memory, with faults."""
+
+import asyncio
+
+from returns.result import Failure, Result, Success
+
+from larkhoist.codes import Code
+from larkhoist.ports.keyed_log import (
+    AtEnd,
+    Guard,
+    KeyedRecord,
+    NewestRecords,
+    StoredRecord,
+    StreamPage,
+    WrittenBy,
+)
+from larkhoist.problem import Problem
+
+__all__ = ["MemoryLog"]
+
+
+class MemoryLog:
+    """Hold streams; ``lose`` answers are lost after the append took effect."""
+
+    def __init__(self):
+        self.streams: dict[str, list[KeyedRecord]] = {}
+        self.first: dict[str, int] = {}
+        self.down = False
+        self.lose = 0
+        self.appends = 0
+        self._epochs: dict[str, int] = {}
+        self._answers: dict[WrittenBy, int] = {}
+
+    async def append(
+        self, stream: str, records: tuple[KeyedRecord, ...], guard: Guard
+    ) -> Result[int, Problem]:
+        await asyncio.sleep(0)
+        self.appends += 1
+        if self.down:
+            return Failure(Problem(Code.LOG_UNAVAILABLE))
+        kept = self.streams.setdefault(stream, [])
+        match guard:
+            case AtEnd(offset):
+                if offset != len(kept):
+                    return Failure(Problem(Code.CONDITION_FAILED))
+                kept += records
+            case WrittenBy(writer, epoch, _):
+                if epoch < self._epochs.get(writer, 0):
+                    return Failure(Problem(Code.FENCED))
+                self._epochs[writer] = epoch
+                if guard not in self._answers or not records:
+                    kept += records
+                    self._answers[guard] = len(kept)
+        if self.lose:
+            self.lose -= 1
+            return Failure(Problem(Code.APPEND_UNKNOWN))
+        return Success(len(kept))
+
+    async def read(
+        self, stream: str, offset: int, wait_s: float
+    ) -> Result[StreamPage, Problem]:
+        await asyncio.sleep(0.001)
+        if self.down:
+            return Failure(Problem(Code.LOG_UNAVAILABLE))
+        if offset < self.first.get(stream, 0):
+            return Failure(Problem(Code.HISTORY_GONE))
+        kept = self.streams.get(stream, [])
+        records = tuple(
+            StoredRecord(offset + place, record.key, record.value)
+            for place, record in enumerate(kept[offset:])
+        )
+        return Success(StreamPage(len(kept), records))
+
+    async def read_newest(self, stream: str) -> Result[NewestRecords, Problem]:
+        await asyncio.sleep(0)
+        if self.down:
+            return Failure(Problem(Code.LOG_UNAVAILABLE))
+        kept = self.streams.get(stream, [])
+        newest = {
+            record.key: StoredRecord(offset, record.key, record.value)
+            for offset, record in enumerate(kept)
+        }
+        records = tuple(record for record in newest.values() if record.value)
+        return Success(NewestRecords(len(kept), records))
--- /dev/null
+++ b/tests/control/test_streams.py
@@ -0,0 +1,123 @@
+"""Check that records are appended once and read in order."""
+
+import asyncio
+
+import pytest
+
+from larkhoist.codes import Code
+from larkhoist.control.stream_follower import StreamFollower
+from larkhoist.control.stream_writer import StreamWriter
+from larkhoist.ports.keyed_log import KeyedRecord
+from tests.control.memory_log import MemoryLog
+
+
+class Sink:
+    def __init__(self):
+        self.values: list[bytes] = []
+        self.replaced = 0
+
+    def replace(self, records):
+        self.replaced += 1
+        self.values = [record.value for record in records]
+
+    def apply(self, record):
+        self.values.append(record.value)
+
+
+@pytest.fixture
+def log():
+    return MemoryLog()
+
+
+@pytest.fixture
+async def writer(log):
+    started = StreamWriter(log, "jobs", "one")
+    await started.start()
+    yield started
+    await started.close()
+
+
+def record(number: int) -> tuple[KeyedRecord, ...]:
+    return (KeyedRecord(f"k{number}", str(number).encode()),)
+
+
+async def wait_for(condition) -> None:
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def test_a_lost_answer_is_settled_by_the_same_append(log, writer):
+    log.lose = 2
+    assert await writer.commit(record(1)) is None
+    assert len(log.streams["jobs"]) == 1
+    assert log.appends == 3
+
+
+async def test_records_that_wait_go_together(log, writer):
+    log.down = True
+    commits = [asyncio.create_task(writer.commit(record(n))) for n in range(5)]
+    await wait_for(lambda: log.appends > 0)
+    log.down = False
+    assert await asyncio.gather(*commits) == [None] * 5
+    assert [kept.key for kept in log.streams["jobs"]] == ["k0", "k1", "k2", "k3", "k4"]
+
+
+async def test_what_was_never_sent_is_withdrawn(log, writer):
+    log.down = True
+    first = asyncio.create_task(writer.commit(record(1), 0.5))
+    await wait_for(lambda: log.appends > 0)
+    second = await writer.commit(record(2), 0.05)
+    assert second.code is Code.LOG_UNAVAILABLE
+    assert second.retry_after_s > 0
+    assert (await first).code is Code.APPEND_UNKNOWN
+    log.down = False
+    assert await writer.commit(record(3)) is None
+    assert "k2" not in [kept.key for kept in log.streams["jobs"]]
+
+
+async def test_a_writer_with_a_newer_epoch_fences_the_older_one(log):
+    old = StreamWriter(log, "jobs", "owner", 1)
+    new = StreamWriter(log, "jobs", "owner", 2)
+    await old.start()
+    assert await old.commit(record(1)) is None
+    await new.fence()
+    assert (await old.commit(record(2))).code is Code.FENCED
+    assert old.fenced
+    assert (await old.commit(record(3))).code is Code.FENCED
+    await old.close()
+    assert len(log.streams["jobs"]) == 1
+
+
+async def test_a_follower_starts_from_the_newest_and_reads_on(log, writer):
+    await writer.commit(record(1))
+    sink = Sink()
+    follower = StreamFollower(log, "jobs", sink, 0.01)
+    assert await follower.catch_up(5)
+    await writer.commit(record(2))
+    assert await follower.catch_up(5)
+    assert sink.values == [b"1", b"2"]
+    assert follower.position == 2
+
+
+async def test_a_follower_starts_anew_when_history_is_gone(log, writer):
+    await writer.commit(record(1))
+    sink = Sink()
+    follower = StreamFollower(log, "jobs", sink, 0.01)
+    await follower.start()
+    await wait_for(lambda: sink.values == [b"1"])
+    await follower.close()
+    for number in range(2, 5):
+        await writer.commit(record(number))
+    log.first["jobs"] = 3
+    assert not await follower.catch_up(5)
+    assert await follower.catch_up(5)
+    assert sorted(sink.values) == [b"1", b"2", b"3", b"4"]
+    assert sink.replaced == 2
+
+
+async def test_a_follower_without_an_answer_says_so(log):
+    follower = StreamFollower(log, "jobs", Sink(), 0.01)
+    log.down = True
+    assert not await follower.catch_up(5)
+    assert not follower.is_loaded
--- /dev/null
+++ b/tests/control/test_tenure_keeper.py
@@ -0,0 +1,129 @@
+"""Check who schedules, by decisions and by keepers on one log."""
+
+import asyncio
+
+import pytest
+
+from larkhoist.control.tenure_keeper import TenureKeeper
+from larkhoist.ownership.log_tenure import (
+    TenureRecord,
+    TenureStep,
+    TenureTimes,
+    TenureView,
+    decide_step,
+)
+from tests.control.memory_log import MemoryLog
+
+QUICK = TenureTimes(renew_s=0.02, watch_s=0.02, silence_s=0.2, predecessor_s=1.0)
+TIMES = TenureTimes()
+
+
+def make_view(changed_s: float, watched_s: float = 0.0, released=False) -> TenureView:
+    return TenureView(7, TenureRecord("other", 3, released), changed_s, watched_s)
+
+
+@pytest.mark.parametrize(
+    ("view", "term", "eligible", "now_s", "step"),
+    [
+        (TenureView(), 0, True, 0.0, TenureStep.CLAIM),
+        (TenureView(), 0, False, 0.0, TenureStep.WATCH),
+        (TenureView(), 4, False, 0.0, TenureStep.RENEW),
+        (make_view(10.0), 0, True, 11.0, TenureStep.WATCH),
+        (make_view(10.0), 0, True, 12.0, TenureStep.CLAIM),
+        (make_view(10.0, released=True), 0, True, 10.1, TenureStep.CLAIM),
+        # An outage is not the holder's silence: only what could be read counts.
+        (make_view(10.0, watched_s=19.0), 0, True, 20.0, TenureStep.WATCH),
+        (make_view(10.0, watched_s=19.0), 0, True, 21.0, TenureStep.CLAIM),
+    ],
+)
+def test_what_an_instance_does_next(view, term, eligible, now_s, step):
+    assert decide_step(view, term, eligible, TIMES, now_s) is step
+
+
+class Keepers:
+    """Hold keepers on one log and the terms that they were given."""
+
+    def __init__(self):
+        self.log = MemoryLog()
+        self.terms: list[tuple[str, int]] = []
+        self.keepers: dict[str, TenureKeeper] = {}
+
+    async def add(self, name: str) -> TenureKeeper:
+        keeper = TenureKeeper(
+            self.log,
+            name,
+            QUICK,
+            lambda: True,
+            lambda term: self.terms.append((name, term)),
+        )
+        self.keepers[name] = keeper
+        await keeper.start()
+        return keeper
+
+    async def close(self) -> None:
+        for keeper in self.keepers.values():
+            await keeper.close()
+
+    async def wait_for(self, condition) -> None:
+        async with asyncio.timeout(10):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+
+@pytest.fixture
+async def keepers():
+    made = Keepers()
+    yield made
+    await made.close()
+
+
+async def test_one_of_several_claims_wins(keepers):
+    for name in ("a", "b", "c"):
+        await keepers.add(name)
+    await keepers.wait_for(lambda: keepers.terms)
+    await asyncio.sleep(0.3)
+    assert len(keepers.terms) == 1
+    assert sum(keeper.term > 0 for keeper in keepers.keepers.values()) == 1
+
+
+async def test_a_released_tenure_goes_to_another_with_a_higher_term(keepers):
+    first = await keepers.add("a")
+    await keepers.wait_for(lambda: first.term)
+    old = first.term
+    second = await keepers.add("b")
+    await first.close()
+    await keepers.wait_for(lambda: second.term)
+    assert second.term > old
+
+
+async def test_a_renewal_without_an_answer_is_no_loss(keepers):
+    first = await keepers.add("a")
+    await keepers.wait_for(lambda: first.term)
+    keepers.log.lose = 3
+    await keepers.wait_for(lambda: not keepers.log.lose)
+    await asyncio.sleep(0.1)
+    assert keepers.terms == [("a", first.term)]
+
+
+async def test_a_holder_that_was_replaced_gives_up(keepers):
+    first = await keepers.add("a")
+    await keepers.wait_for(lambda: first.term)
+    # A frozen holder: its task does not run while another one claims.
+    first._task.cancel()
+    second = await keepers.add("b")
+    await keepers.wait_for(lambda: second.term)
+    await first.start()
+    await keepers.wait_for(lambda: not first.term)
+    assert second.term > 0
+
+
+async def test_an_outage_ends_the_right_to_renew_leases(keepers):
+    first = await keepers.add("a")
+    await keepers.wait_for(lambda: first.term)
+    keepers.log.down = True
+    await asyncio.sleep(0.1)
+    confirmed_s = first.confirmed_s
+    assert first.may_renew_leases(confirmed_s + QUICK.predecessor_s - 0.1)
+    assert not first.may_renew_leases(confirmed_s + QUICK.predecessor_s + 0.1)
+    keepers.log.down = False
+    await keepers.wait_for(lambda: first.confirmed_s > confirmed_s)
