--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -4,6 +4,7 @@
 
 from measure.control import print_control
 from measure.costs import print_costs
+from measure.fleet import print_fleet
 from measure.path import print_path
 from measure.placement import print_placement
 from measure.routing import print_routing
@@ -16,6 +17,7 @@
     "path": print_path,
     "control": print_control,
     "urgent": print_urgent,
+    "fleet": print_fleet,
 }
 
 
--- /dev/null
+++ b/measure/fleet.py
@@ -0,0 +1,73 @@
+"""Print what one decision about staged jobs costs, by workers and waiting steps."""
+
+import random
+import time
+
+from larkhoist.fleet.policy import FleetPolicy
+from larkhoist.fleet.scheduler import FleetScheduler, create_fleet_scheduler
+from larkhoist.jobs.book import BookEntry
+from larkhoist.jobs.spec import JobTerms, StagedJob, StepSpec
+from larkhoist.ports.fleet import ListedTaskWorker, Resources
+
+__all__ = ["print_fleet"]
+
+WORKER_COUNTS = (24, 176, 832, 3328)
+WAITING_COUNTS = (10, 100, 400)
+ROOM = Resources(32_000, 131_072, 8)
+PER_RACK = 8
+DECISIONS = 20
+STEP_S = 0.6
+"""Longer than the time between two looks at what waits."""
+
+
+def print_fleet() -> None:
+    """Print milliseconds for each decision on full workers."""
+    print("one decision about staged jobs, all workers full")
+    for workers in WORKER_COUNTS:
+        for waiting in WAITING_COUNTS:
+            took_ms = _measure(workers, waiting)
+            print(f"  {workers:>5} workers, {waiting:>4} waiting: {took_ms:>7.2f} ms")
+
+
+def _measure(workers: int, waiting: int) -> float:
+    chance = random.Random(1)
+    scheduler = create_fleet_scheduler(FleetPolicy(), 0.0)
+    scheduler.take_list([_make_worker(n) for n in range(workers)], 0.0)
+    scheduler.set_guarantees({"ann": workers * 4})
+    _add(scheduler, 0, StepSpec(count=workers * 8, accelerators=1, checkpoints=True))
+    scheduler.decide(0.0, 0)
+    for number in range(1, waiting + 1):
+        _add(scheduler, number, _draw_step(chance))
+    began_s = time.perf_counter()
+    for number in range(DECISIONS):
+        scheduler.decide(1.0 + number * STEP_S, 0)
+    return (time.perf_counter() - began_s) / DECISIONS * 1000
+
+
+def _add(scheduler: FleetScheduler, number: int, step: StepSpec) -> None:
+    terms = JobTerms("service", 1, 3, 3.0, 1000)
+    job = StagedJob(f"{number:016x}", "queue", "ann", "text", (step,), terms, 0)
+    scheduler.add_job(BookEntry(job), 0.0, 0)
+
+
+def _draw_step(chance: random.Random) -> StepSpec:
+    gang = chance.random() < 0.5
+    return StepSpec(
+        count=chance.randint(1, 16),
+        cpu_milli=chance.choice((2800, 13000)),
+        memory_mb=11_000,
+        accelerators=chance.choice((1, 2, 4, 8)),
+        estimate_ms=9000,
+        gang=gang,
+        same_rack=gang,
+        checkpoints=chance.random() < 0.5,
+    )
+
+
+def _make_worker(number: int) -> ListedTaskWorker:
+    rack = f"r{number // PER_RACK}"
+    labels = frozenset(("a", rack))
+    name = f"w{number}"
+    return ListedTaskWorker(
+        name, "service", name, "hall", rack, labels, ROOM, False, None, 0
+    )
