Split making room from placing

Change: RoomMaker owns victims and kept room, the pass over waiting phases owns tiers, bounds and reservations; _place is two functions. A second waiting gang of the same shape may reserve as well now, within the same bound of two.

--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -3,8 +3,8 @@
 import math
 
 from larkhoist.fleet.placing import find_places, group_workers, list_eligible
-from larkhoist.fleet.preemption import Victim, choose_victims, list_victims
 from larkhoist.fleet.ranking import Tier, rank_phase
+from larkhoist.fleet.room_maker import RoomMaker
 from larkhoist.fleet.state import FleetState
 from larkhoist.fleet.task import ActiveJob, Phase, TaskState
 from larkhoist.fleet.worker import FleetWorker
@@ -14,6 +14,7 @@
 
 PACE_STEP = math.log(1.2)
 """Racks whose times differ by less than this count as equally fast; a guess."""
+TOO_LITTLE_ROOM = "too little room"
 MAX_RESERVATIONS = 2
 """How many waiting gangs keep workers to themselves at once; a guess."""
 
@@ -24,6 +25,7 @@
     def __init__(self, state: FleetState, guarantees: dict[str, int], now_s: float):
         self.state = state
         self.now_s = now_s
+        self.room_maker = RoomMaker(state, now_s)
         self.reserved: set[str] = set()
         self.reservations = 0
         self.failed: set[tuple] = set()
@@ -61,7 +63,7 @@
 
     def _place(self, rank, active: ActiveJob, phase: Phase) -> None:
         if phase.plan:
-            self._place_planned(phase)
+            self.room_maker.start_planned(phase)
             return
         tier, latest_s, _ = rank
         policy = self.state.policy
@@ -69,24 +71,34 @@
         anywhere = self.mostly_idle and waited_s >= policy.idle_wait_s
         may_reserve = phase.spec.gang and self._may_reserve(tier, waited_s)
         if tier > Tier.URGENT and not may_reserve and not self._may_fit(phase):
-            self._note_wait(phase, "too little room", tier, self.usable)
+            self._note_wait(phase, TOO_LITTLE_ROOM, tier, self.usable)
             return
         workers = self._list_workers(tier, anywhere, active, phase)
-        waiting = phase.get_waiting()
-        count = len(waiting)
+        reason = self._start(tier, anywhere, active, phase, workers)
+        if not reason:
+            phase.wait_reasons.clear()
+            return
+        self._note_wait(phase, reason, tier, workers)
+        if reason != TOO_LITTLE_ROOM:
+            return
+        if tier <= Tier.URGENT:
+            self.room_maker.make_room(active, phase, workers, latest_s)
+        elif may_reserve:
+            self._reserve(phase, workers)
+
+    def _start(self, tier, anywhere, active, phase, workers) -> str:
+        """Start what finds room; return why something is left, empty if nothing."""
+        count = len(phase.get_waiting())
         if not self.mostly_idle:
             count = min(count, self._count_allowed(active, phase, count))
         if not workers:
-            self._note_wait(phase, "no worker may run it", tier, workers)
-            return
+            return "no worker may run it"
         if count == 0 or phase.spec.gang and count < len(phase.tasks):
-            self._note_wait(phase, "guarantees need the room", tier, workers)
-            return
+            return "guarantees need the room"
         # Room only shrinks within a pass: what found none finds none again.
         shape = _get_shape(active, phase, tier, anywhere, count)
         if shape in self.failed:
-            self._note_wait(phase, "too little room", tier, workers)
-            return
+            return TOO_LITTLE_ROOM
         groups = [workers]
         if not anywhere:
             groups = group_workers(workers, phase.spec, len(phase.tasks))
@@ -100,18 +112,9 @@
         )
         if places:
             self._assign(active, phase, places)
-        left = phase.get_waiting()
-        if not left:
-            phase.wait_reasons.clear()
-            return
-        self._note_wait(phase, "too little room", tier, workers)
-        if not places and tier > Tier.URGENT:
+        elif tier > Tier.URGENT:
             self.failed.add(shape)
-        if tier in (Tier.FIRM, Tier.URGENT):
-            timely = self.now_s + policy.stop_s <= latest_s
-            self._make_room(active, phase, groups, workers, timely)
-        elif may_reserve:
-            self._reserve(phase, groups)
+        return TOO_LITTLE_ROOM if phase.get_waiting() else ""
 
     def _may_fit(self, phase: Phase) -> bool:
         """Tell whether it is worth to look for room on each worker.
@@ -191,77 +194,6 @@
             room = min(room, self.room_without_checkpoints)
         return max(0, room) // spec.accelerators
 
-    # Room that is made by stopping others.
-
-    def _make_room(self, active, phase, groups, workers, timely: bool) -> None:
-        count = len(phase.get_waiting())
-        victims = list_victims(
-            [p for _, p in self.state.iter_phases()],
-            lambda other: self._may_stop(active, phase, other),
-            self.now_s,
-        )
-        found = choose_victims(groups, phase.spec, count, victims)
-        if found is None and active.firm:
-            found = choose_victims([workers], phase.spec, count, victims)
-        if found is None:
-            return
-        places, chosen = found
-        if not active.firm and not self._is_worth(phase, chosen, timely):
-            return
-        by_index = {
-            task.index: name
-            for task, name in zip(phase.get_waiting(), places, strict=True)
-        }
-        for victim in chosen:
-            self._stop_victim(phase, victim)
-        self.state.keep_plan(phase, by_index)
-
-    def _may_stop(self, active: ActiveJob, phase: Phase, other: Phase) -> bool:
-        holder = self.state.jobs[other.id.job_id]
-        if holder is active or holder.firm or other.spec.long_running:
-            return False
-        return holder.priority != 0 or active.firm
-
-    def _is_worth(self, phase: Phase, victims: list[Victim], timely: bool) -> bool:
-        work_s = phase.spec.estimate_ms / 1000
-        cores = phase.spec.cpu_milli / 1000 + 8 * phase.spec.accelerators
-        gain = cores * work_s * len(phase.tasks)
-        cost = sum(victim.cost for victim in victims)
-        policy = self.state.policy
-        ratio = policy.timely_work_ratio if timely else policy.late_work_ratio
-        return cost <= gain * ratio
-
-    def _stop_victim(self, phase: Phase, victim: Victim) -> None:
-        self.state.note(
-            "preempted",
-            job=victim.phase.id.job_id,
-            step=victim.phase.id.step,
-            tasks=len(victim.tasks),
-            cost_core_s=round(victim.cost, 1),
-            claimant=phase.id.job_id,
-        )
-        for task in victim.tasks:
-            self.state.stop(victim.phase, task, self.now_s)
-        if victim.phase.spec.gang:
-            victim.phase.closing = True
-
-    def _place_planned(self, phase: Phase) -> None:
-        state = self.state
-        workers = [state.workers.get(name) for name in phase.plan.values()]
-        lost = any(w is None or not w.is_usable(self.now_s) for w in workers)
-        if lost or set(phase.plan) != {t.index for t in phase.get_waiting()}:
-            state.drop_plan(phase)
-            return
-        need = phase.need
-        wanted = {w.name: sum(o is w for o in workers) for w in workers}
-        for worker in workers:
-            room = worker.capacity - worker.used
-            if room.count_fitting(need) < wanted[worker.name]:
-                return
-        places = dict(phase.plan)
-        state.drop_plan(phase)
-        state.assign(phase, places, self.now_s)
-
     # Room that is kept for gangs that wait.
 
     def _may_reserve(self, tier: Tier, waited_s: float) -> bool:
@@ -269,8 +201,9 @@
         few = self.reservations < MAX_RESERVATIONS
         return tier <= Tier.LATE and waited_s >= patience_s and few
 
-    def _reserve(self, phase: Phase, groups) -> None:
+    def _reserve(self, phase: Phase, workers: list[FleetWorker]) -> None:
         self.reservations += 1
+        groups = group_workers(workers, phase.spec, len(phase.tasks))
         group = max(groups, key=lambda g: sum(w.free.accelerators for w in g))
         room = 0
         for worker in sorted(group, key=lambda w: -w.free.accelerators):
