Count tasks towards the spread limit where room is made by stops

Cause: places found by stopping others were searched without the tasks of the step that a worker holds already, so that a worker could get more of them than allowed.

Change: Phase.count_taken serves both searches. A test fails without it.

--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -106,7 +106,7 @@
             groups,
             phase.spec,
             count,
-            _count_taken(phase),
+            phase.count_taken(),
             lambda worker: worker.free,
             self._get_pace if tier <= Tier.URGENT else None,
         )
@@ -235,16 +235,6 @@
     )
 
 
-def _count_taken(phase: Phase) -> dict[str, int]:
-    taken: dict[str, int] = {}
-    if not phase.spec.spread_limit:
-        return taken
-    for task in phase.tasks:
-        if task.worker and (task.is_on_worker or task.state.value == "done"):
-            taken[task.worker] = taken.get(task.worker, 0) + 1
-    return taken
-
-
 def _count_urgent(state: FleetState, now_s: float) -> int:
     """Return how many accelerators urgent jobs use or want now."""
     total = 0
--- a/src/larkhoist/fleet/preemption.py
+++ b/src/larkhoist/fleet/preemption.py
@@ -51,15 +51,18 @@
     spec: StepSpec,
     count: int,
     victims: list[Victim],
+    taken: dict[str, int],
 ) -> tuple[list[str], list[Victim]] | None:
     """Return places and the victims to stop for them at the least cost.
 
+    ``taken`` counts the tasks of the phase that are on a worker already.
+
     None means that no set of victims makes room for all ``count`` tasks.
     """
     best = None
     best_cost = float("inf")
     for group in groups:
-        found = _choose_in_group(group, spec, count, victims)
+        found = _choose_in_group(group, spec, count, victims, taken)
         if found is None:
             continue
         cost = sum(victim.cost for victim in found[1])
@@ -68,7 +71,7 @@
     return best
 
 
-def _choose_in_group(group, spec, count, victims):
+def _choose_in_group(group, spec, count, victims, taken):
     names = {worker.name for worker in group}
     near = [
         (victim, sum(task.worker in names for task in victim.tasks))
@@ -78,24 +81,24 @@
     near.sort(key=lambda item: item[0].cost / item[1])
     gained: dict[str, Resources] = {}
     chosen: list[Victim] = []
-    places = _find(group, spec, count, gained)
+    places = _find(group, spec, count, gained, taken)
     for victim, _ in near:
         if len(places) == count:
             break
         _gain(gained, victim, +1)
         chosen.append(victim)
-        places = _find(group, spec, count, gained)
+        places = _find(group, spec, count, gained, taken)
     if len(places) < count:
         return None
-    kept = _drop_needless(group, spec, count, gained, chosen)
-    return _find(group, spec, count, gained), kept
+    kept = _drop_needless(group, spec, count, gained, chosen, taken)
+    return _find(group, spec, count, gained, taken), kept
 
 
-def _drop_needless(group, spec, count, gained, chosen):
+def _drop_needless(group, spec, count, gained, chosen, taken):
     kept = list(chosen)
     for victim in sorted(chosen, key=lambda item: -item.cost):
         _gain(gained, victim, -1)
-        if len(_find(group, spec, count, gained)) == count:
+        if len(_find(group, spec, count, gained, taken)) == count:
             kept.remove(victim)
         else:
             _gain(gained, victim, +1)
@@ -108,8 +111,8 @@
         gained[task.worker] = have + victim.phase.need.scale(sign)
 
 
-def _find(group, spec, count, gained) -> list[str]:
+def _find(group, spec, count, gained, taken) -> list[str]:
     def get_free(worker: FleetWorker) -> Resources:
         return worker.free + gained.get(worker.name, Resources())
 
-    return find_places([group], spec, count, {}, get_free)
+    return find_places([group], spec, count, taken, get_free)
--- a/src/larkhoist/fleet/room_maker.py
+++ b/src/larkhoist/fleet/room_maker.py
@@ -33,10 +33,11 @@
             lambda other: self._may_stop(active, other),
             self._now_s,
         )
+        taken = phase.count_taken()
         groups = group_workers(workers, phase.spec, len(phase.tasks))
-        found = choose_victims(groups, phase.spec, count, victims)
+        found = choose_victims(groups, phase.spec, count, victims, taken)
         if found is None and active.firm:
-            found = choose_victims([workers], phase.spec, count, victims)
+            found = choose_victims([workers], phase.spec, count, victims, taken)
         if found is None:
             return
         places, chosen = found
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -100,6 +100,16 @@
             return []
         return [task for task in self.tasks if task.state is TaskState.WAITING]
 
+    def count_taken(self) -> dict[str, int]:
+        """Return how many tasks each worker holds towards the spread limit."""
+        taken: dict[str, int] = {}
+        if not self.spec.spread_limit:
+            return taken
+        for task in self.tasks:
+            if task.worker and (task.is_on_worker or task.state is TaskState.DONE):
+                taken[task.worker] = taken.get(task.worker, 0) + 1
+        return taken
+
     def get_cost(self, tasks: list[Task], now_s: float) -> float:
         """Return what stopping ``tasks`` throws away, in core-seconds."""
         cores = self.spec.cpu_milli / 1000
--- a/src/larkhoist/jobs/records.py
+++ b/src/larkhoist/jobs/records.py
@@ -7,7 +7,6 @@
 
 import msgspec
 
-from larkhoist.codes import Code
 from larkhoist.jobs.spec import StagedJob
 from larkhoist.ports.keyed_log import KeyedRecord
 
@@ -100,8 +99,3 @@
 def decode_job_record(value: bytes) -> JobRecord:
     """Return the record in ``value``; raises ``msgspec.DecodeError``."""
     return _decoder.decode(value)
-
-
-def is_final(code: int) -> bool:
-    """Tell whether ``code`` names an outcome of a job."""
-    return code in (Code.JOB_FINISHED, Code.JOB_FAILED, Code.JOB_CANCELLED)
--- a/tests/fleet/test_scheduler.py
+++ b/tests/fleet/test_scheduler.py
@@ -240,3 +240,18 @@
     machine.run(1)
     racks = {machine.world.workers[r.worker].rack for r in machine.world.history}
     assert racks == {"r1"}
+
+
+def test_room_made_by_stops_keeps_the_spread_limit():
+    full = make_job(1, StepSpec(count=1, accelerators=8), priority=0)
+    borrowed = make_job(2, StepSpec(count=7, accelerators=1, checkpoints=True))
+    spread = StepSpec(count=2, accelerators=1, estimate_ms=900, spread_limit=1)
+    firm = make_job(3, spread, priority=0)
+    jobs = (full, borrowed, firm)
+    machine = make_machine(2, jobs, {"ann": 10}, work_s=20.0)
+    for job in jobs:
+        machine.submit(job)
+        machine.run(1)
+    machine.run(3)
+    assert get_kinds(machine, firm) == [None]
+    assert get_kinds(machine, borrowed) == [None] * 7
