Refuse at once while the log is known not to answer

Cause: with the platform's log silent, each call whose refusal or state had to be checked waited 0.6 s for a read, and each new job up to 2.7 s behind records that were already waiting. The caller's whole time went into one instance.

Change: a follower that got no answer is out of touch until its next answer, and a desk checks nothing there; a writer whose oldest record has waited for 0.8 s takes no more from callers. Both answers say 'not run' and when to come back.

--- a/src/larkhoist/control/job_desk.py
+++ b/src/larkhoist/control/job_desk.py
@@ -81,14 +81,14 @@
         age_s = now_s - self._catalog_follower.synced_s
         current = age_s <= self._times.config_age_s
         if not current:
-            current = await self._catalog_follower.catch_up(self._times.check_s)
+            current = await self._check(self._catalog_follower)
         if not current or self._catalog.catalog is None:
             return self._refuse(Code.NOT_READY, "the configuration may be old")
         found = self._find_permit(host, path, credential)
         match found:
             case Success(_):
                 return found
-        if not await self._catalog_follower.catch_up(self._times.check_s):
+        if not await self._check(self._catalog_follower):
             return self._refuse(Code.NOT_READY, "the refusal could not be checked")
         return self._find_permit(host, path, credential)
 
@@ -160,7 +160,7 @@
         if entry is None or entry.outcome is None:
             # What is not final may have changed, and what is not there may have
             # come: ask the log.
-            checked = await self._book_follower.catch_up(self._times.check_s)
+            checked = await self._check(self._book_follower)
             entry = self._book.get(job_id)
             age_s = now_s - self._book_follower.synced_s
             if not checked and (entry is None or age_s > self._times.state_age_s):
@@ -170,6 +170,14 @@
         problem = self._check_owner(entry, permit.customer_name)
         return Success(entry) if problem is None else Failure(problem)
 
+    async def _check(self, follower: StreamFollower) -> bool:
+        """Read a stream to its end for a call; False where the log can't be read.
+
+        Nobody waits for a log that is known not to answer: the follower goes on
+        asking, and the caller is better off with another instance.
+        """
+        return follower.in_touch and await follower.catch_up(self._times.check_s)
+
     def _check_owner(self, entry: BookEntry, customer: str) -> Problem | None:
         if entry.job.customer == customer or not customer or not entry.job.customer:
             return None
--- a/src/larkhoist/control/stream_follower.py
+++ b/src/larkhoist/control/stream_follower.py
@@ -63,6 +63,11 @@
         """Stop following."""
         await cancel_tasks([self._task])
 
+    @property
+    def in_touch(self) -> bool:
+        """Tell whether the log answered the last read."""
+        return self._in_touch
+
     @property
     def is_loaded(self) -> bool:
         """Tell whether the stream was read whole once."""
@@ -75,10 +80,12 @@
 
     async def catch_up(self, timeout_s: float) -> bool:
         """Read to the end as it is now; False where the log did not answer."""
+        asked_s = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(timeout_s):
                 return await self._read_to_end()
         except TimeoutError:
+            self._note_touch(False, asked_s, f"no answer within {timeout_s} s")
             return False
 
     async def _read_to_end(self) -> bool:
--- a/src/larkhoist/control/stream_writer.py
+++ b/src/larkhoist/control/stream_writer.py
@@ -21,6 +21,9 @@
 MAX_BATCH_BYTES = 200_000
 """Bounds one append, well below what the platform takes in one call."""
 RETRY_AFTER_S = 1.0
+STALLED_S = 0.8
+"""Once records have waited this long, new callers are refused rather than held; the
+log usually answers in 4 ms, and in 0.3 s when it is slow."""
 
 
 @dataclass(slots=True)
@@ -84,12 +87,15 @@
         """Append records; None means that they and all before are on the log.
 
         ``LOG_UNAVAILABLE`` means that they are not and never will be,
-        ``APPEND_UNKNOWN`` that they may be or may still come.
+        ``APPEND_UNKNOWN`` that they may be or may still come. With a time-out,
+        records are refused at once while others have been waiting for long.
         """
         loop = asyncio.get_running_loop()
         pending = _Pending(records, loop.time(), loop.create_future())
         if self.fenced:
             return Problem(Code.FENCED)
+        if timeout_s is not None and self.get_delay_s(pending.added_s) > STALLED_S:
+            return Problem(Code.LOG_UNAVAILABLE, retry_after_s=RETRY_AFTER_S)
         self._queue.append(pending)
         self._added.set()
         try:
--- a/tests/control/memory_log.py
+++ b/tests/control/memory_log.py
@@ -20,12 +20,16 @@
 
 
 class MemoryLog:
-    """Hold streams; ``lose`` answers are lost after the append took effect."""
+    """Hold streams; ``lose`` answers are lost after the append took effect.
+
+    A ``silent`` log takes calls and never answers them.
+    """
 
     def __init__(self):
         self.streams: dict[str, list[KeyedRecord]] = {}
         self.first: dict[str, int] = {}
         self.down = False
+        self.silent = False
         self.lose = 0
         self.appends = 0
         self._epochs: dict[str, int] = {}
@@ -36,6 +40,7 @@
     ) -> Result[int, Problem]:
         await asyncio.sleep(0)
         self.appends += 1
+        await self._answer()
         if self.down:
             return Failure(Problem(Code.LOG_UNAVAILABLE))
         kept = self.streams.setdefault(stream, [])
@@ -60,6 +65,7 @@
         self, stream: str, offset: int, wait_s: float
     ) -> Result[StreamPage, Problem]:
         await asyncio.sleep(0.001)
+        await self._answer()
         if self.down:
             return Failure(Problem(Code.LOG_UNAVAILABLE))
         if offset < self.first.get(stream, 0):
@@ -73,6 +79,7 @@
 
     async def read_newest(self, stream: str) -> Result[NewestRecords, Problem]:
         await asyncio.sleep(0)
+        await self._answer()
         if self.down:
             return Failure(Problem(Code.LOG_UNAVAILABLE))
         kept = self.streams.get(stream, [])
@@ -82,3 +89,7 @@
         }
         records = tuple(record for record in newest.values() if record.value)
         return Success(NewestRecords(len(kept), records))
+
+    async def _answer(self) -> None:
+        if self.silent:
+            await asyncio.Event().wait()
--- a/tests/control/test_streams.py
+++ b/tests/control/test_streams.py
@@ -6,7 +6,7 @@
 
 from larkhoist.codes import Code
 from larkhoist.control.stream_follower import StreamFollower
-from larkhoist.control.stream_writer import StreamWriter
+from larkhoist.control.stream_writer import STALLED_S, StreamWriter
 from larkhoist.ports.keyed_log import KeyedRecord
 from tests.control.memory_log import MemoryLog
 
@@ -121,3 +121,30 @@
     log.down = True
     assert not await follower.catch_up(5)
     assert not follower.is_loaded
+
+
+async def test_callers_are_refused_at_once_while_records_wait_for_long(log, writer):
+    log.down = True
+    owner = asyncio.create_task(writer.commit(record(1)))
+    loop = asyncio.get_running_loop()
+    await wait_for(lambda: writer.get_delay_s(loop.time()) > STALLED_S)
+    async with asyncio.timeout(5):
+        refused = await writer.commit(record(2), 60.0)
+    assert refused.code is Code.LOG_UNAVAILABLE
+    assert refused.retry_after_s > 0
+    log.down = False
+    assert await owner is None
+    assert await writer.commit(record(3), 60.0) is None
+    assert [kept.key for kept in log.streams["jobs"]] == ["k1", "k3"]
+
+
+async def test_a_check_without_an_answer_ends_the_touch(log):
+    follower = StreamFollower(log, "jobs", Sink(), 0.01)
+    assert await follower.catch_up(5)
+    assert follower.in_touch
+    log.silent = True
+    assert not await follower.catch_up(0.05)
+    assert not follower.in_touch
+    log.silent = False
+    assert await follower.catch_up(5)
+    assert follower.in_touch
