Find a new owner sooner; wait for appends as long as they usually take

Change: silence of 1.1 s instead of 1.6 s, a lost renewal is repeated at once; instances with less than a core leave a claim to stronger ones for up to 0.4 s; a restarted holder claims at once; appends time out by an estimate like that of TCP's retransmission timer, 0.3 to 1.2 s.

Tests: test_answer_times, and in test_tenure_keeper the restarted holder, two incarnations of one instance, weaker instances, and the renewal without an answer.

--- /dev/null
+++ b/src/larkhoist/control/answer_times.py
@@ -0,0 +1,79 @@
+"""Learn how long to wait for an answer before a call is made again.
+
+The estimate is that of TCP's retransmission timer (RFC 6298): a smoothed time and
+its deviation, doubled with each call that was lost until one is answered.
+"""
+
+import asyncio
+
+from returns.result import Result, Success
+
+from larkhoist.ports.keyed_log import Guard, KeyedLogPort, KeyedRecord
+from larkhoist.problem import Problem
+
+__all__ = ["AnswerTimes", "append_in_time", "create_answer_times"]
+
+LEAST_TIMEOUT_S = 0.3
+"""Longer than the log takes when it is slow (0.25 s), so that few calls are made
+twice before the estimate has caught up."""
+LONGEST_TIMEOUT_S = 1.2
+"""Covers a queue of a second before a partition of the log."""
+TIME_WEIGHT = 1 / 8
+DEVIATION_WEIGHT = 1 / 4
+DEVIATIONS = 4
+"""The three figures are those of RFC 6298."""
+
+
+class AnswerTimes:
+    """Keep the estimate for calls of one kind; all times are seconds."""
+
+    def __init__(self):
+        self._mean_s: float | None = None
+        self._deviation_s = 0.0
+        self._lost = 0
+
+    def note_answer(self, took_s: float) -> None:
+        """Take the time of a call that was answered."""
+        self._lost = 0
+        if self._mean_s is None:
+            self._mean_s, self._deviation_s = took_s, took_s / 2
+            return
+        error_s = took_s - self._mean_s
+        self._deviation_s += DEVIATION_WEIGHT * (abs(error_s) - self._deviation_s)
+        self._mean_s += TIME_WEIGHT * error_s
+
+    def note_loss(self) -> None:
+        """Take a call that got no answer in time."""
+        self._lost += 1
+
+    def get_timeout_s(self) -> float:
+        """Return how long to wait for the next answer."""
+        timeout_s = LEAST_TIMEOUT_S
+        if self._mean_s is not None:
+            timeout_s = max(timeout_s, self._mean_s + DEVIATIONS * self._deviation_s)
+        return min(LONGEST_TIMEOUT_S, timeout_s * 2**self._lost)
+
+
+def create_answer_times() -> AnswerTimes:
+    """Return an estimate that knows no call yet."""
+    return AnswerTimes()
+
+
+async def append_in_time(
+    log: KeyedLogPort,
+    stream: str,
+    records: tuple[KeyedRecord, ...],
+    guard: Guard,
+    times: AnswerTimes,
+) -> Result[int, Problem]:
+    """Append records, waiting for the answer as long as ``times`` says."""
+    loop = asyncio.get_running_loop()
+    asked_s, timeout_s = loop.time(), times.get_timeout_s()
+    result = await log.append(stream, records, guard, timeout_s)
+    took_s = loop.time() - asked_s
+    match result:
+        case Success(_):
+            times.note_answer(took_s)
+        case _ if took_s >= timeout_s:
+            times.note_loss()
+    return result
--- a/src/larkhoist/control/scheduler_node.py
+++ b/src/larkhoist/control/scheduler_node.py
@@ -19,7 +19,7 @@
 from larkhoist.jobs.book import JobBook
 from larkhoist.jobs.catalog import Catalog
 from larkhoist.jobs.records import JOB_STREAM
-from larkhoist.ownership.log_tenure import TenureTimes
+from larkhoist.ownership.log_tenure import TenureTimes, get_claim_patience_s
 from larkhoist.ports.fleet import ListedTaskWorker
 from larkhoist.ports.keyed_log import KeyedLogPort, StoredRecord
 
@@ -72,7 +72,9 @@
         self.owner: FleetOwner | None = None
         self.catalog = CatalogKeeper(decode_catalog)
         self._decode_worker = decode_worker
-        self._tenure_times = TenureTimes()
+        self._tenure_times = TenureTimes(
+            patience_s=get_claim_patience_s(settings.cores)
+        )
         self._catalog_follower = StreamFollower(
             log, CONFIGURATION_STREAM, self.catalog, CONFIG_WAIT_S
         )
--- a/src/larkhoist/control/stream_writer.py
+++ b/src/larkhoist/control/stream_writer.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from larkhoist.codes import Code
+from larkhoist.control.answer_times import append_in_time, create_answer_times
 from larkhoist.daemon.logs import log_event
 from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.ports.keyed_log import KeyedLogPort, KeyedRecord, WrittenBy
@@ -58,6 +59,7 @@
         self._added = asyncio.Event()
         self._task: asyncio.Task | None = None
         self._failing = False
+        self._times = create_answer_times()
         self.fenced = False
 
     async def start(self) -> None:
@@ -74,7 +76,7 @@
     async def fence(self) -> Result[int, Problem]:
         """Raise the epoch on the stream without appending anything."""
         guard = WrittenBy(self._writer, self._epoch, 0)
-        return await self._log.append(self._stream, (), guard)
+        return await self._append((), guard)
 
     def get_delay_s(self, now_s: float) -> float:
         """Return for how long the oldest records have waited."""
@@ -143,7 +145,7 @@
             self._settle(True)
             return True
         guard = WrittenBy(self._writer, self._epoch, self._sequence)
-        match await self._log.append(self._stream, records, guard):
+        match await self._append(records, guard):
             case Success(_):
                 self._sequence += 1
                 self._settle(True)
@@ -165,6 +167,11 @@
                 self._note_failing(True, problem)
                 return False
 
+    async def _append(self, records: tuple[KeyedRecord, ...], guard: WrittenBy):
+        return await append_in_time(
+            self._log, self._stream, records, guard, self._times
+        )
+
     def _settle(self, kept: bool) -> None:
         settled, self._under_way = self._under_way, []
         if self.fenced:
--- a/src/larkhoist/control/tenure_keeper.py
+++ b/src/larkhoist/control/tenure_keeper.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Success
 
 from larkhoist.codes import Code
+from larkhoist.control.answer_times import append_in_time, create_answer_times
 from larkhoist.daemon.logs import log_event
 from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.ownership.log_tenure import (
@@ -25,6 +26,10 @@
 
 _logger = logging.getLogger(__name__)
 RELEASE_TIMEOUT_S = 0.5
+INHERIT_S = 0.05
+"""How often a restarted holder looks whether it may claim already."""
+RETRY_RENEWAL_S = 0.1
+"""Short, since others claim once they have seen no renewal for a second."""
 
 
 class TenureKeeper:
@@ -45,6 +50,7 @@
         self._on_change = on_change
         self._view = TenureView()
         self._loaded = False
+        self._answer_times = create_answer_times()
         self._task: asyncio.Task | None = None
         self.term = 0
         self.confirmed_s = float("-inf")
@@ -83,13 +89,16 @@
             step = decide_step(self._view, self.term, eligible, self._times, now_s)
             match step:
                 case TenureStep.RENEW:
-                    await self._renew()
-                    await asyncio.sleep(self._times.renew_s)
+                    renewed = await self._renew()
+                    pause_s = self._times.renew_s if renewed else RETRY_RENEWAL_S
+                    await asyncio.sleep(pause_s)
                 case TenureStep.CLAIM:
                     await self._claim()
                 case TenureStep.WATCH:
                     await self._watch()
-                    await asyncio.sleep(self._times.watch_s)
+                    inherited = self._view.inherited
+                    pause_s = INHERIT_S if inherited else self._times.watch_s
+                    await asyncio.sleep(pause_s)
 
     async def _claim(self) -> None:
         asked_s = asyncio.get_running_loop().time()
@@ -107,16 +116,14 @@
                 await asyncio.sleep(self._times.renew_s)
                 await self._watch()
 
-    async def _renew(self) -> None:
+    async def _renew(self) -> bool:
         asked_s = asyncio.get_running_loop().time()
         record = TenureRecord(self._incarnation, self.term)
         match await self._append(record):
             case Success(end):
                 self._view.take(end, record, asked_s)
                 self.confirmed_s = asked_s
-            case Failure(problem) if problem.code is Code.CONDITION_FAILED:
-                # Our own renewal without an answer may have moved the end on.
-                await self._watch()
+                return True
             case Failure(problem):
                 log_event(
                     _logger,
@@ -126,11 +133,16 @@
                     age_s=round(asked_s - self.confirmed_s, 2),
                     reason=problem,
                 )
+        # The renewal may have been kept without an answer and moved the end on.
+        await self._watch()
+        return False
 
     async def _append(self, record: TenureRecord):
         kept = KeyedRecord(OWNER_KEY, msgspec.msgpack.encode(record))
         guard = AtEnd(self._view.end)
-        return await self._log.append(TENURE_STREAM, (kept,), guard)
+        return await append_in_time(
+            self._log, TENURE_STREAM, (kept,), guard, self._answer_times
+        )
 
     async def _watch(self) -> None:
         asked_s = asyncio.get_running_loop().time()
@@ -140,8 +152,11 @@
             result = await self._log.read(TENURE_STREAM, self._view.end, 0.0)
         match result:
             case Success(page):
+                is_first = not self._loaded and self._view.newest is None
                 self._loaded = True
                 self._take_records(page.end, page.records, asked_s)
+                if is_first:
+                    self._view.inherited = self._is_predecessor()
             case Failure(problem):
                 self._loaded &= problem.code is not Code.HISTORY_GONE
                 self._view.note_failed_read()
@@ -161,6 +176,13 @@
         elif self.term:
             self._lose(f"{newest.holder} holds term {newest.term}")
 
+    def _is_predecessor(self) -> bool:
+        """Tell whether the holder is an earlier incarnation of this instance."""
+        newest = self._view.newest
+        if newest is None or newest.released or newest.holder == self._incarnation:
+            return False
+        return _get_instance(newest.holder) == _get_instance(self._incarnation)
+
     def _gain(self, term: int, asked_s: float, previous: str) -> None:
         self.term = term
         self.confirmed_s = asked_s
@@ -177,3 +199,7 @@
 
 def _decode(record: StoredRecord) -> TenureRecord:
     return msgspec.msgpack.decode(record.value, type=TenureRecord)
+
+
+def _get_instance(incarnation: str) -> str:
+    return incarnation.rsplit("/", 1)[0]
--- a/src/larkhoist/ownership/log_tenure.py
+++ b/src/larkhoist/ownership/log_tenure.py
@@ -19,10 +19,14 @@
     "TenureTimes",
     "TenureView",
     "decide_step",
+    "get_claim_patience_s",
 ]
 
 TENURE_STREAM = "tenure"
 OWNER_KEY = "owner"
+PATIENCE_S = 0.4
+"""How much longer an instance with half a core waits; an interval of the watch, so
+that stronger ones mostly come first."""
 
 
 class TenureRecord(msgspec.Struct, frozen=True):
@@ -37,15 +41,18 @@
 class TenureTimes:
     """Hold times in seconds.
 
-    ``silence_s`` covers three lost renewals. ``predecessor_s`` bounds how long a
+    ``silence_s`` covers a renewal whose answer was lost, the next one and a watch.
+    ``patience_s`` is how much longer this instance leaves a claim to others.
+    ``predecessor_s`` bounds how long a
     holder that is cut off from the log goes on renewing workers' leases; it is
     longer than the platform's usual outages.
     """
 
-    renew_s: float = 0.4
-    watch_s: float = 0.5
-    silence_s: float = 1.6
+    renew_s: float = 0.3
+    watch_s: float = 0.4
+    silence_s: float = 1.1
     predecessor_s: float = 8.0
+    patience_s: float = 0.0
 
 
 class TenureStep(Enum):
@@ -61,19 +68,23 @@
     """Hold what was last seen of the stream; ``changed_s`` is when it last grew.
 
     ``watched_s`` is since when the stream could be read without a break, so that
-    an outage of the log is not taken for the holder's silence.
+    an outage of the log is not taken for the holder's silence. ``inherited`` tells
+    that the holder, when first read, was an earlier incarnation of this instance,
+    which runs no more.
     """
 
     end: int = 0
     newest: TenureRecord | None = None
     changed_s: float = 0.0
     watched_s: float = float("inf")
+    inherited: bool = False
 
     def take(self, end: int, newest: TenureRecord | None, now_s: float) -> None:
         """Take the result of one read."""
         self.watched_s = min(self.watched_s, now_s)
         if end != self.end:
             self.changed_s = now_s
+            self.inherited = False
         self.end = end
         if newest is not None:
             self.newest = newest
@@ -91,9 +102,19 @@
         return TenureStep.RENEW
     if not eligible:
         return TenureStep.WATCH
-    if view.newest is None or view.newest.released:
+    if view.newest is None or view.inherited:
         return TenureStep.CLAIM
-    quiet_since_s = max(view.changed_s, view.watched_s)
-    if now_s - quiet_since_s > times.silence_s:
-        return TenureStep.CLAIM
-    return TenureStep.WATCH
+    if view.newest.released:
+        is_due = now_s - view.changed_s >= times.patience_s
+    else:
+        quiet_since_s = max(view.changed_s, view.watched_s)
+        is_due = now_s - quiet_since_s > times.silence_s + times.patience_s
+    return TenureStep.CLAIM if is_due else TenureStep.WATCH
+
+
+def get_claim_patience_s(cores: float) -> float:
+    """Return how long an instance with ``cores`` leaves a claim to stronger ones.
+
+    The holder does most of the work; with one core or more there is no wait.
+    """
+    return PATIENCE_S * max(0.0, min(1.0, 1 / cores - 1))
--- a/src/larkhoist/ports/keyed_log.py
+++ b/src/larkhoist/ports/keyed_log.py
@@ -86,10 +86,15 @@
     """Reach the platform's keyed streams."""
 
     async def append(
-        self, stream: str, records: tuple[KeyedRecord, ...], guard: Guard
+        self,
+        stream: str,
+        records: tuple[KeyedRecord, ...],
+        guard: Guard,
+        timeout_s: float,
     ) -> Result[int, Problem]:
         """Append all records or none; return the end of the stream after them.
 
+        No answer within ``timeout_s`` means ``APPEND_UNKNOWN``.
         Without records, the guard alone takes effect: the epoch is raised.
         """
 
--- a/tests/control/memory_log.py
+++ b/tests/control/memory_log.py
@@ -22,7 +22,8 @@
 class MemoryLog:
     """Hold streams; ``lose`` answers are lost after the append took effect.
 
-    A ``silent`` log takes calls and never answers them.
+    A ``silent`` log takes calls and never answers them. ``hold`` appends take effect
+    and are not answered before their time-out.
     """
 
     def __init__(self):
@@ -31,12 +32,17 @@
         self.down = False
         self.silent = False
         self.lose = 0
+        self.hold = 0
         self.appends = 0
         self._epochs: dict[str, int] = {}
         self._answers: dict[WrittenBy, int] = {}
 
     async def append(
-        self, stream: str, records: tuple[KeyedRecord, ...], guard: Guard
+        self,
+        stream: str,
+        records: tuple[KeyedRecord, ...],
+        guard: Guard,
+        timeout_s: float,
     ) -> Result[int, Problem]:
         await asyncio.sleep(0)
         self.appends += 1
@@ -56,6 +62,10 @@
                 if guard not in self._answers or not records:
                     kept += records
                     self._answers[guard] = len(kept)
+        if self.hold:
+            self.hold -= 1
+            await asyncio.sleep(timeout_s)
+            return Failure(Problem(Code.APPEND_UNKNOWN))
         if self.lose:
             self.lose -= 1
             return Failure(Problem(Code.APPEND_UNKNOWN))
--- /dev/null
+++ b/tests/control/test_answer_times.py
@@ -0,0 +1,39 @@
+"""Check how long a call waits before it is made again."""
+
+import pytest
+
+from larkhoist.control.answer_times import (
+    LEAST_TIMEOUT_S,
+    LONGEST_TIMEOUT_S,
+    create_answer_times,
+)
+
+
+def test_quick_answers_keep_the_least_time_out():
+    times = create_answer_times()
+    assert times.get_timeout_s() == LEAST_TIMEOUT_S
+    for _ in range(20):
+        times.note_answer(0.004)
+    assert times.get_timeout_s() == LEAST_TIMEOUT_S
+
+
+def test_losses_double_the_time_out_up_to_the_longest():
+    times = create_answer_times()
+    times.note_answer(0.004)
+    found = []
+    for _ in range(4):
+        times.note_loss()
+        found.append(times.get_timeout_s())
+    assert found == [0.6, 1.2, LONGEST_TIMEOUT_S, LONGEST_TIMEOUT_S]
+    times.note_answer(0.004)
+    assert times.get_timeout_s() == LEAST_TIMEOUT_S
+
+
+@pytest.mark.parametrize("took_s", [0.2, 0.25, 0.29])
+def test_a_log_that_turns_slow_is_waited_for(took_s):
+    times = create_answer_times()
+    for _ in range(50):
+        times.note_answer(0.004)
+    for _ in range(10):
+        assert times.get_timeout_s() > took_s
+        times.note_answer(took_s)
--- a/tests/control/test_tenure_keeper.py
+++ b/tests/control/test_tenure_keeper.py
@@ -11,6 +11,7 @@
     TenureTimes,
     TenureView,
     decide_step,
+    get_claim_patience_s,
 )
 from tests.control.memory_log import MemoryLog
 
@@ -18,8 +19,11 @@
 TIMES = TenureTimes()
 
 
-def make_view(changed_s: float, watched_s: float = 0.0, released=False) -> TenureView:
-    return TenureView(7, TenureRecord("other", 3, released), changed_s, watched_s)
+def make_view(
+    changed_s: float, watched_s: float = 0.0, released=False, inherited=False
+) -> TenureView:
+    newest = TenureRecord("other", 3, released)
+    return TenureView(7, newest, changed_s, watched_s, inherited)
 
 
 @pytest.mark.parametrize(
@@ -29,6 +33,8 @@
         (TenureView(), 0, False, 0.0, TenureStep.WATCH),
         (TenureView(), 4, False, 0.0, TenureStep.RENEW),
         (make_view(10.0), 0, True, 11.0, TenureStep.WATCH),
+        (make_view(10.0, inherited=True), 0, True, 10.0, TenureStep.CLAIM),
+        (make_view(10.0, inherited=True), 0, False, 10.0, TenureStep.WATCH),
         (make_view(10.0), 0, True, 12.0, TenureStep.CLAIM),
         (make_view(10.0, released=True), 0, True, 10.1, TenureStep.CLAIM),
         # An outage is not the holder's silence: only what could be read counts.
@@ -40,6 +46,20 @@
     assert decide_step(view, term, eligible, TIMES, now_s) is step
 
 
+@pytest.mark.parametrize(
+    ("cores", "patience_s"), [(2.0, 0.0), (1.0, 0.0), (0.8, 0.1), (0.1, 0.4)]
+)
+def test_weaker_instances_leave_claims_to_stronger_ones(cores, patience_s):
+    assert get_claim_patience_s(cores) == pytest.approx(patience_s)
+    times = TenureTimes(silence_s=1.0, patience_s=patience_s)
+    silent, released = make_view(10.0), make_view(10.0, released=True)
+    for view, due_s in ((silent, 11.0 + patience_s), (released, 10.0 + patience_s)):
+        assert decide_step(view, 0, True, times, due_s + 0.01) is TenureStep.CLAIM
+        if patience_s:
+            early_s = due_s - 0.01
+            assert decide_step(view, 0, True, times, early_s) is TenureStep.WATCH
+
+
 class Keepers:
     """Hold keepers on one log and the terms that they were given."""
 
@@ -48,11 +68,11 @@
         self.terms: list[tuple[str, int]] = []
         self.keepers: dict[str, TenureKeeper] = {}
 
-    async def add(self, name: str) -> TenureKeeper:
+    async def add(self, name: str, times: TenureTimes = QUICK) -> TenureKeeper:
         keeper = TenureKeeper(
             self.log,
             name,
-            QUICK,
+            times,
             lambda: True,
             lambda term: self.terms.append((name, term)),
         )
@@ -127,3 +147,36 @@
     assert not first.may_renew_leases(confirmed_s + QUICK.predecessor_s + 0.1)
     keepers.log.down = False
     await keepers.wait_for(lambda: first.confirmed_s > confirmed_s)
+
+
+async def test_a_restarted_holder_claims_without_waiting_for_its_own_silence(keepers):
+    first = await keepers.add("a/1")
+    await keepers.wait_for(lambda: first.term)
+    # Killed: no release is written.
+    first._task.cancel()
+    slow = TenureTimes(renew_s=0.02, watch_s=0.02, silence_s=1000.0)
+    second = await keepers.add("a/2", slow)
+    await keepers.wait_for(lambda: second.term)
+    assert second.term > first.term
+
+
+async def test_two_incarnations_of_one_instance_do_not_take_turns(keepers):
+    first = await keepers.add("a/1")
+    await keepers.wait_for(lambda: first.term)
+    await keepers.add("a/2")
+    await asyncio.sleep(0.5)
+    gained = [name for name, term in keepers.terms if term]
+    assert gained in (["a/1"], ["a/1", "a/2"])
+
+
+async def test_a_renewal_without_an_answer_is_repeated_well_before_others_claim(
+    keepers,
+):
+    first = await keepers.add("a", TIMES)
+    await keepers.wait_for(lambda: first.term)
+    keepers.log.hold = 1
+    await keepers.add("b", TIMES)
+    await keepers.wait_for(lambda: not keepers.log.hold)
+    before = len(keepers.log.streams["tenure"])
+    await keepers.wait_for(lambda: len(keepers.log.streams["tenure"]) > before + 2)
+    assert [name for name, term in keepers.terms if term] == ["a"]
