Give work only to workers that answer the owner

Cause: a new owner placed tasks on workers it had never heard of, and while a data hall fell silent worker by worker it went on sending work there.

Change: a worker takes tasks once it has answered this owner; three workers of a hall that fall silent at nearly the same time put the hall in doubt, everybody there is asked at once, and work goes only to those that have answered since.

Tests: two in tests/fleet/test_scheduler.py, both failed before. The machine of the interleavings carries the probes out.

--- a/measure/fleet.py
+++ b/measure/fleet.py
@@ -33,6 +33,8 @@
     chance = random.Random(1)
     scheduler = create_fleet_scheduler(FleetPolicy(), 0.0)
     scheduler.take_list([_make_worker(n) for n in range(workers)], 0.0)
+    for name in list(scheduler.state.workers):
+        scheduler.note_heard(name, 0.0)
     scheduler.set_guarantees({"ann": workers * 4})
     _add(scheduler, 0, StepSpec(count=workers * 8, accelerators=1, checkpoints=True))
     scheduler.decide(0.0, 0)
--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -283,7 +283,7 @@
             return
         match message:
             case ReportAnswer(worker, asked_s, Success(report)):
-                scheduler.note_silent(worker, False)
+                scheduler.note_heard(worker, asked_s)
                 scheduler.take_report(worker, report, asked_s, now_s, now_ms)
             case ReportAnswer(worker, _, Failure(problem)):
                 self._take_failed_call(worker, problem.code, now_s)
@@ -303,7 +303,7 @@
             case Code.WORKER_REPLACED:
                 self.scheduler.note_gone(worker, "replaced", now_s)
             case Code.WORKER_SILENT:
-                self.scheduler.note_silent(worker, True)
+                self.scheduler.note_silent(worker, now_s)
 
     # Carrying out what was decided.
 
@@ -314,6 +314,9 @@
             session = self._sessions.get(stop.worker)
             if session is not None:
                 session.order_stop(stop)
+        for name in decided.probes:
+            if name in self._sessions:
+                self._sessions[name].probe()
         if decided.records or decided.starts or decided.seen:
             self._spawn(self._commit(decided))
 
--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -139,6 +139,10 @@
             self._acked.set()
             self._wake.set()
 
+    def probe(self) -> None:
+        """Ask at once whether the worker answers, beside what is under way."""
+        self._spawn(self._probe())
+
     def order_start(self, order: StartTask) -> None:
         """Send a start, again where no answer comes."""
         self._spawn(self._start(order))
@@ -179,6 +183,11 @@
                 self._silent = True
                 await asyncio.sleep(self._times.silent_pause_s)
 
+    async def _probe(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        call = LeaseCall(self._token, self._to_acknowledge)
+        self._tell(ReportAnswer(self._name, now_s, await self._port.renew(call)))
+
     async def _wait_for_log(self, report: WorkerReport) -> None:
         newest = max((ended.number for ended in report.ended), default=0)
         while newest > self._to_acknowledge:
--- a/src/larkhoist/fleet/effects.py
+++ b/src/larkhoist/fleet/effects.py
@@ -40,7 +40,8 @@
     """Hold what one call to ``decide`` asks for.
 
     ``seen`` holds, by worker, the number of the last end that ``records`` cover;
-    it may be acknowledged once they are on the log.
+    it may be acknowledged once they are on the log. ``probes`` names workers to be
+    asked at once whether they answer.
     """
 
     records: list[JobRecord] = field(default_factory=list)
@@ -48,3 +49,4 @@
     stops: list[StopTask] = field(default_factory=list)
     notes: list[Note] = field(default_factory=list)
     seen: dict[str, int] = field(default_factory=dict)
+    probes: list[str] = field(default_factory=list)
--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -34,8 +34,7 @@
         self.usable = [
             worker
             for worker in state.workers.values()
-            if worker.is_usable(now_s)
-            and not state.quarantine.holds(worker.name, now_s)
+            if state.is_usable(worker, now_s)
         ]
         self.room_without_checkpoints = _count_room(state, guarantees)
         used = _count_urgent(state, now_s)
--- a/src/larkhoist/fleet/room_maker.py
+++ b/src/larkhoist/fleet/room_maker.py
@@ -52,7 +52,7 @@
         """Start a phase for which room is kept, once the room is free."""
         state = self._state
         workers = [state.workers.get(name) for name in phase.plan.values()]
-        lost = any(w is None or not w.is_usable(self._now_s) for w in workers)
+        lost = any(w is None or not state.is_usable(w, self._now_s) for w in workers)
         if lost or set(phase.plan) != {task.index for task in phase.get_waiting()}:
             state.drop_plan(phase)
             return
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -101,14 +101,26 @@
         """Note that a renewal or a start is about to be sent."""
         self.state.extend_lease(self.state.workers[worker], now_s)
 
-    def note_silent(self, worker: str, silent: bool) -> None:
-        """Note whether a worker answers."""
+    def note_silent(self, worker: str, asked_s: float) -> None:
+        """Note that a call to a worker at ``asked_s`` got no answer."""
         found = self.state.workers[worker]
-        if found.silent != silent:
-            event = "worker-silent" if silent else "worker-answers"
-            self.state.note(event, worker=worker, tasks=len(found.tasks))
-            found.silent = silent
+        if found.silent:
+            return
+        found.silent = True
+        self.state.changed = True
+        self.state.note("worker-silent", worker=worker, tasks=len(found.tasks))
+        if self.state.doubts.note_silent(found.hall, worker, asked_s):
+            self._doubt(found.hall)
+
+    def note_heard(self, worker: str, asked_s: float) -> None:
+        """Note that a worker answered a call that was made at ``asked_s``."""
+        found = self.state.workers[worker]
+        if found.silent:
+            found.silent = False
+            self.state.note("worker-answers", worker=worker, tasks=len(found.tasks))
+        if not self.state.is_usable(found, asked_s):
             self.state.changed = True
+        found.heard_s = max(found.heard_s, asked_s)
 
     def take_report(
         self,
@@ -201,6 +213,16 @@
             if active.ended and all(phase.is_off_workers for phase in phases):
                 self.state.forget_job(active)
 
+    def _doubt(self, hall: str) -> None:
+        """Ask everybody in a hall that may be cut off."""
+        doubtful = [
+            worker.name
+            for worker in self.state.workers.values()
+            if worker.hall == hall and worker.listed and not worker.silent
+        ]
+        self.state.note("hall-doubted", hall=hall, workers=len(doubtful))
+        self.state.round.probes += doubtful
+
     # The list of workers.
 
     def _add_worker(self, entry: ListedTaskWorker, now_s: float) -> None:
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 
 from larkhoist.codes import Code
+from larkhoist.fleet.doubts import HallDoubts
 from larkhoist.fleet.effects import Note, Round, StartTask, StopTask
 from larkhoist.fleet.headroom import UrgentDemand
 from larkhoist.fleet.policy import FleetPolicy
@@ -31,6 +32,7 @@
         self.runtimes = QueueRuntimes()
         self.speeds = RackSpeeds()
         self.quarantine = Quarantine()
+        self.doubts = HallDoubts()
         self.urgent_demand = UrgentDemand()
         self.round = Round()
         self.changed = True
@@ -94,6 +96,14 @@
         """Return the tasks that may run on a worker."""
         return [self._tasks[name] for name in sorted(worker.tasks)]
 
+    def is_usable(self, worker: FleetWorker, now_s: float) -> bool:
+        """Tell whether new tasks may go to a worker."""
+        return (
+            worker.is_usable(now_s)
+            and not self.quarantine.holds(worker.name, now_s)
+            and not self.doubts.covers(worker.hall, worker.heard_s)
+        )
+
     # Steps of a task.
 
     def assign(self, phase: Phase, places: dict[int, str], now_s: float) -> None:
--- a/src/larkhoist/fleet/worker.py
+++ b/src/larkhoist/fleet/worker.py
@@ -13,7 +13,8 @@
 
     ``free`` is what neither runs nor is held for tasks that wait until others have
     stopped; held room makes it negative while the others still run. After
-    ``lease_end_s`` nothing runs there unless a lease was renewed.
+    ``lease_end_s`` nothing runs there unless a lease was renewed. ``heard_s`` is when
+    this owner made the last call that was answered.
     """
 
     name: str
@@ -27,6 +28,7 @@
     leaving: bool = False
     leaves_s: float | None = None
     silent: bool = False
+    heard_s: float = float("-inf")
     full_until_s: float = float("-inf")
     used: Resources = field(default_factory=Resources)
     tasks: set[str] = field(default_factory=set)
@@ -56,11 +58,12 @@
         self.free += need
 
     def is_usable(self, now_s: float) -> bool:
-        """Tell whether new tasks may go there."""
+        """Tell whether new tasks may go there; what never answered gets none."""
         return (
             self.listed
             and not self.leaving
             and not self.silent
+            and self.heard_s > float("-inf")
             and now_s >= self.full_until_s
         )
 
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -116,6 +116,9 @@
             decided = owner.scheduler.decide(self.now_s, self.now_ms)
             for stop in decided.stops:
                 self._send_stop(owner, stop)
+            for name in decided.probes:
+                if name in self.world.workers:
+                    self._ask_worker(owner, self.world.workers[name])
             # A round reaches the log a step later, or never.
             owner.uncommitted.append(decided)
 
@@ -149,12 +152,12 @@
         answer = self._call(worker, call)
         if answer is None:
             owner.silent.add(worker.name)
-            owner.scheduler.note_silent(worker.name, True)
+            owner.scheduler.note_silent(worker.name, self.now_s)
             return
         match answer:
             case Success(report):
                 owner.silent.discard(worker.name)
-                owner.scheduler.note_silent(worker.name, False)
+                owner.scheduler.note_heard(worker.name, self.now_s)
                 owner.scheduler.take_report(
                     worker.name, report, self.now_s, self.now_s + 0.01, self.now_ms
                 )
--- a/tests/fleet/test_scheduler.py
+++ b/tests/fleet/test_scheduler.py
@@ -255,3 +255,33 @@
     machine.run(3)
     assert get_kinds(machine, firm) == [None]
     assert get_kinds(machine, borrowed) == [None] * 7
+
+
+def test_an_owner_sends_nothing_to_workers_that_never_answered_it():
+    job = make_job(1, StepSpec(count=2, accelerators=8), priority=0)
+    machine = make_machine(4, (job,))
+    machine.cut = {"w0", "w1"}
+    machine.replace_owner()
+    machine.submit(job)
+    machine.run(5)
+    check_outcomes(machine)
+    assert {run.worker for run in machine.world.history} == {"w2", "w3"}
+
+
+def test_a_hall_with_several_silent_workers_gets_work_only_where_it_answers():
+    machine = make_machine(6)
+    machine.run(1)
+    scheduler = machine.owner.scheduler
+    for name in ("w0", "w1"):
+        scheduler.note_silent(name, machine.now_s)
+    assert not scheduler.decide(machine.now_s, machine.now_ms).probes
+    scheduler.note_silent("w2", machine.now_s)
+    assert scheduler.decide(machine.now_s, machine.now_ms).probes == ["w3", "w4", "w5"]
+    usable = [
+        worker.name
+        for worker in scheduler.state.workers.values()
+        if scheduler.state.is_usable(worker, machine.now_s)
+    ]
+    assert usable == []
+    scheduler.note_heard("w4", machine.now_s)
+    assert scheduler.state.is_usable(scheduler.state.workers["w4"], machine.now_s)
