Take a refused start as settled only where no earlier try may act

Change: a session says whether an earlier try may act; then the attempt is stopped and settled by the answer to the stop, as after a silent worker. An end 'done' of the newest attempt counts even where the attempt was taken not to run.

Tests: test_worker_session, and two in test_scheduler that fail without the change. The machine of the interleavings sends a lost start again, as sessions do.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -287,8 +287,8 @@
                 scheduler.take_report(worker, report, asked_s, now_s, now_ms)
             case ReportAnswer(worker, _, Failure(problem)):
                 self._take_failed_call(worker, problem.code, now_s)
-            case StartAnswer(worker, task, attempt, code):
-                scheduler.take_start_answer(task, attempt, code, now_s)
+            case StartAnswer(worker, task, attempt, code, may_act):
+                scheduler.take_start_answer(task, attempt, code, may_act, now_s)
                 if code is not None:
                     self._take_failed_call(worker, code, now_s)
             case StopAnswer(worker, task, attempt, None):
--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -39,12 +39,17 @@
 
 @dataclass(frozen=True, slots=True)
 class StartAnswer:
-    """Tell what came of a start; ``code`` is None where the task has begun."""
+    """Tell what came of a start; ``code`` is None where the task has begun.
+
+    ``may_act`` tells that an earlier try got no answer: it may have begun the task,
+    or may still, whatever the last answer says.
+    """
 
     worker: str
     task: str
     attempt: int
     code: Code | None
+    may_act: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -200,6 +205,7 @@
 
     async def _start(self, order: StartTask) -> None:
         code: Code | None = Code.ORDER_REFUSED
+        may_act = False
         for _ in range(self._times.start_tries):
             now_s = asyncio.get_running_loop().time()
             # A start brings a lease for all that runs there, as a renewal does.
@@ -223,8 +229,10 @@
                     code = problem.code
             if code is not Code.WORKER_SILENT:
                 break
+            may_act = True
             await asyncio.sleep(self._times.start_pause_s)
-        self._tell(StartAnswer(self._name, order.task, order.attempt, code))
+        answer = StartAnswer(self._name, order.task, order.attempt, code, may_act)
+        self._tell(answer)
 
     async def _stop(self, order: StopTask) -> None:
         result = await self._port.stop_task(
--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -41,9 +41,17 @@
 
 
 def take_start_answer(
-    state: FleetState, name: str, attempt: int, code: Code | None, now_s: float
+    state: FleetState,
+    name: str,
+    attempt: int,
+    code: Code | None,
+    may_act: bool,
+    now_s: float,
 ) -> None:
-    """Take the answer to a start order; None means that the task has begun."""
+    """Take the answer to a start order; None means that the task has begun.
+
+    A refusal proves that nothing runs only where no earlier try may act.
+    """
     found = state.find_task(name, attempt)
     if found is None:
         return
@@ -58,6 +66,9 @@
         case Code.WORKER_SILENT | Code.FENCED:
             # The order may still act: only a stop that is answered settles it.
             state.stop(phase, task, now_s)
+        case _ if may_act:
+            state.note("start-unsettled", task=name, worker=task.worker, reason=code)
+            state.stop(phase, task, now_s)
         case _:
             state.note("start-refused", task=name, worker=task.worker, reason=code.name)
             if code is Code.WORKER_FULL:
@@ -87,6 +98,8 @@
     state: FleetState, worker: FleetWorker, ended: EndedTask, now_s: float, now_ms: int
 ) -> None:
     found = state.find_task(ended.task, ended.attempt)
+    if found is None and ended.kind is EndKind.DONE:
+        found = state.find_waiting(ended.task, ended.attempt)
     state.note(
         "task-ended",
         task=ended.task,
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -135,10 +135,13 @@
         take_report(self.state, found, report, asked_s, now_s, now_ms)
 
     def take_start_answer(
-        self, task: str, attempt: int, code: Code | None, now_s: float
+        self, task: str, attempt: int, code: Code | None, may_act: bool, now_s: float
     ) -> None:
-        """Take the answer to a start order; None means that the task has begun."""
-        take_start_answer(self.state, task, attempt, code, now_s)
+        """Take the answer to a start order; None means that the task has begun.
+
+        ``may_act`` tells that an earlier try of the order may still begin it.
+        """
+        take_start_answer(self.state, task, attempt, code, may_act, now_s)
 
     def take_stop_answer(self, task: str, attempt: int, now_s: float) -> None:
         """Take the answer to a stop order."""
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -92,6 +92,16 @@
             return None
         return found
 
+    def find_waiting(self, name: str, attempt: int) -> tuple[Phase, Task] | None:
+        """Return the task whose newest attempt this is and that waits for a next one.
+
+        Its attempt was taken not to run; that it is done is true all the same.
+        """
+        found = self._tasks.get(name)
+        if found is None or not 0 < attempt == found[1].attempt:
+            return None
+        return found if found[1].state is TaskState.WAITING else None
+
     def list_tasks_on(self, worker: FleetWorker) -> list[tuple[Phase, Task]]:
         """Return the tasks that may run on a worker."""
         return [self._tasks[name] for name in sorted(worker.tasks)]
--- /dev/null
+++ b/tests/control/test_worker_session.py
@@ -0,0 +1,54 @@
+"""Check what a session tells of orders whose answers are lost."""
+
+import asyncio
+
+import pytest
+from returns.result import Failure, Success
+
+from larkhoist.codes import Code
+from larkhoist.control.worker_session import SessionTimes, StartAnswer, WorkerSession
+from larkhoist.fleet.effects import StartTask
+from larkhoist.ports.task_worker import WorkerReport
+from larkhoist.problem import Problem
+
+QUICK = SessionTimes(start_pause_s=0.01, silent_pause_s=0.01)
+ORDER = StartTask("w0", "job.0.0.0", 3, "text", "")
+
+
+class ScriptedWorker:
+    """Answer starts one after the other as written."""
+
+    def __init__(self, *codes: Code | None):
+        self.codes = list(codes)
+
+    async def start_task(self, order):
+        code = self.codes.pop(0)
+        return Success(1) if code is None else Failure(Problem(code))
+
+    async def renew(self, call):
+        return Success(WorkerReport(1, (), ()))
+
+
+@pytest.mark.parametrize(
+    ("codes", "code", "may_act"),
+    [
+        ((None,), None, False),
+        ((Code.ATTEMPT_TOO_OLD,), Code.ATTEMPT_TOO_OLD, False),
+        ((Code.WORKER_SILENT, None), None, True),
+        # The first try began the task, which had ended when the second one came.
+        ((Code.WORKER_SILENT, Code.ATTEMPT_TOO_OLD), Code.ATTEMPT_TOO_OLD, True),
+        ((Code.WORKER_SILENT, Code.WORKER_FULL), Code.WORKER_FULL, True),
+        ((Code.WORKER_SILENT, Code.WORKER_SILENT), Code.WORKER_SILENT, True),
+    ],
+)
+async def test_a_refusal_after_a_lost_answer_proves_nothing(codes, code, may_act):
+    told = []
+    session = WorkerSession(
+        "w0", ScriptedWorker(*codes), 1, QUICK, 0, 0.0, lambda *_: True, told.append
+    )
+    session.order_start(ORDER)
+    async with asyncio.timeout(10):
+        while not told:
+            await asyncio.sleep(0.005)
+    await session.close()
+    assert told == [StartAnswer("w0", ORDER.task, ORDER.attempt, code, may_act)]
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -186,11 +186,16 @@
             owner.term,
             start.checkpoint,
         )
-        answer = self._call(worker, order)
+        # As a session does: an order without an answer is sent once more.
+        answer, may_act = self._call(worker, order), False
+        if answer is None:
+            answer, may_act = self._call(worker, order), True
         code = Code.WORKER_SILENT
         if answer is not None:
             code = None if isinstance(answer, Success) else answer.failure().code
-        owner.scheduler.take_start_answer(start.task, start.attempt, code, self.now_s)
+        owner.scheduler.take_start_answer(
+            start.task, start.attempt, code, may_act, self.now_s
+        )
 
     def _send_stop(self, owner: _Owner, stop: StopTask) -> None:
         worker = self.world.workers.get(stop.worker)
--- a/tests/fleet/test_scheduler.py
+++ b/tests/fleet/test_scheduler.py
@@ -3,8 +3,9 @@
 from msgspec.structs import replace
 
 from larkhoist.codes import Code
+from larkhoist.jobs.records import JobOutcome
 from larkhoist.jobs.spec import StepSpec
-from larkhoist.ports.task_worker import EndKind
+from larkhoist.ports.task_worker import EndedTask, EndKind, WorkerReport
 from tests.fleet.cases import make_job, make_machine
 from tests.fleet.checks import check_history, check_outcomes
 
@@ -285,3 +286,49 @@
     assert usable == []
     scheduler.note_heard("w4", machine.now_s)
     assert scheduler.state.is_usable(scheduler.state.workers["w4"], machine.now_s)
+
+
+def test_a_start_refused_after_a_lost_one_may_have_run_to_its_end():
+    # A hunted day broke this: the first try of the start was carried out without an
+    # answer and was done before the second one came, which was refused as old.
+    job = make_job(1, ONE)
+    machine = make_machine(2, (job,), work_s=0.3)
+    machine.run(1)
+    scheduler = machine.owner.scheduler
+    machine.submit(job)
+    start = scheduler.decide(machine.now_s, machine.now_ms).starts[0]
+    code = Code.ATTEMPT_TOO_OLD
+    scheduler.take_start_answer(start.task, start.attempt, code, True, machine.now_s)
+    again = scheduler.decide(machine.now_s, machine.now_ms)
+    assert not again.starts
+    assert [stop.task for stop in again.stops] == [start.task]
+    done = EndedTask(1, start.task, start.attempt, EndKind.DONE, "")
+    report = WorkerReport(0, (), (done,))
+    at_s = machine.now_s + 1
+    scheduler.take_report(start.worker, report, at_s, at_s, machine.now_ms)
+    ended = scheduler.decide(at_s, machine.now_ms)
+    assert not ended.starts
+    assert [r.code for r in ended.records if isinstance(r, JobOutcome)] == [
+        Code.JOB_FINISHED
+    ]
+
+
+def test_the_end_of_an_attempt_that_was_taken_not_to_run_still_counts():
+    job = make_job(1, ONE)
+    machine = make_machine(2, (job,))
+    machine.run(1)
+    scheduler = machine.owner.scheduler
+    machine.submit(job)
+    start = scheduler.decide(machine.now_s, machine.now_ms).starts[0]
+    code = Code.ORDER_REFUSED
+    scheduler.take_start_answer(start.task, start.attempt, code, False, machine.now_s)
+    done = EndedTask(1, start.task, start.attempt, EndKind.DONE, "")
+    report = WorkerReport(0, (), (done,))
+    scheduler.take_report(
+        start.worker, report, machine.now_s, machine.now_s, machine.now_ms
+    )
+    decided = scheduler.decide(machine.now_s, machine.now_ms)
+    assert not decided.starts
+    assert Code.JOB_FINISHED in [
+        r.code for r in decided.records if isinstance(r, JobOutcome)
+    ]
