Soak real instances under random faults

Cause: the proofs of staged jobs ran on the pure scheduler or in one process; the users ask for real programs harmed from outside.

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PYTHON ?= python3
+SEEDS ?= 50
 
-.PHONY: demo test measure promises lint format clean
+.PHONY: demo test measure promises soak lint format clean
 
 $(VENV)/.installed: requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -23,6 +24,9 @@
 promises: $(VENV)/.installed
 	$(BIN)/python -m tests.promises
 
+soak: $(VENV)/.installed
+	PYTHONPATH=platform/tests $(BIN)/python -m soak --seeds $(SEEDS)
+
 lint: $(VENV)/.installed
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
