Keep progress on a stream of its own, and of an ended job only its outcome

Change: progress has its own stream, read by a new owner alone; a begun job has one short record for callers. Once a job has ended and none of its tasks may run, only its outcome is kept, and that until callers may not ask any more. The two streams of a round may reach the log one without the other: a successor ends a job whose last failure is known, and closes what has an outcome.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -29,13 +29,19 @@
 from larkhoist.jobs.book import JobBook
 from larkhoist.jobs.records import (
     JOB_STREAM,
+    PROGRESS_STREAM,
     JobAccepted,
     JobCancelRequested,
     JobRecord,
+    PhaseProgress,
     encode_job_record,
+    make_closing_records,
+    make_expiry_records,
+    make_phase_drop,
 )
-from larkhoist.ports.keyed_log import KeyedLogPort
+from larkhoist.ports.keyed_log import KeyedLogPort, KeyedRecord, StoredRecord
 from larkhoist.ports.task_worker import TaskWorkerPort
+from larkhoist.problem import Problem
 
 __all__ = ["FleetOwner"]
 
@@ -49,6 +55,9 @@
 """How long records may wait for the log before no new decision is made."""
 TAKEOVER_TIMEOUT_S = 2.0
 RETRY_TAKEOVER_S = 0.2
+TIDY_S = 10.0
+"""How often outcomes that nobody may ask for any more are looked for; they are few
+enough between two looks (some 50 a second) to go in one append."""
 
 CreatePort = Callable[[str, str], TaskWorkerPort]
 
@@ -70,8 +79,12 @@
         create_port: CreatePort,
         may_renew_leases: Callable[[float], bool],
         give_up: Callable[[str], None],
+        keep_s: float,
     ):
         self.term = term
+        self._log = log
+        self._keep_s = keep_s
+        self._tidied_s = float("-inf")
         self._book = book
         self._book_follower = book_follower
         self._roster = roster
@@ -83,6 +96,7 @@
         self._may_renew_leases = may_renew_leases
         self._give_up = give_up
         self._writer = StreamWriter(log, JOB_STREAM, OWNER_WRITER, term)
+        self._progress_writer = StreamWriter(log, PROGRESS_STREAM, OWNER_WRITER, term)
         self.scheduler: FleetScheduler | None = None
         self._sessions: dict[str, WorkerSession] = {}
         self._inbox: list[Message] = []
@@ -102,6 +116,7 @@
         for session in self._sessions.values():
             await session.close()
         await self._writer.close()
+        await self._progress_writer.close()
         await self._roster_follower.close()
         log_event(_logger, "owner-stopped", term=self.term)
 
@@ -164,6 +179,7 @@
         while not await self._take_over():
             await asyncio.sleep(RETRY_TAKEOVER_S)
         await self._writer.start()
+        await self._progress_writer.start()
         while True:
             try:
                 async with asyncio.timeout(self._get_pause_s()):
@@ -171,7 +187,7 @@
             except TimeoutError:
                 pass
             self._wake.clear()
-            if self._writer.fenced:
+            if self._writer.fenced or self._progress_writer.fenced:
                 self._give_up("a newer term wrote to the log")
                 return
             began_s, _ = _get_times()
@@ -187,23 +203,14 @@
 
     async def _take_over(self) -> bool:
         began_s, _ = _get_times()
-        fenced = await self._writer.fence()
-        match fenced:
-            case Failure(problem) if problem.code is Code.FENCED:
-                self._give_up("a newer term is known to the log")
-                await asyncio.sleep(TAKEOVER_TIMEOUT_S)
-                return False
-            case Failure(problem):
-                log_event(_logger, "take-over-waits", term=self.term, reason=problem)
-                return False
-        if not await self._book_follower.catch_up(TAKEOVER_TIMEOUT_S):
-            return False
-        if not await self._roster_follower.catch_up(TAKEOVER_TIMEOUT_S):
+        progress = await self._read_state()
+        if progress is None:
             return False
         await self._roster_follower.start()
         now_s, now_ms = _get_times()
         scheduler = create_fleet_scheduler(self._policy, now_s)
         scheduler.take_list(self._roster.list_entries(), now_s)
+        self._book.take_progress(progress)
         scheduler.take_book(self._book, now_s, now_ms)
         self.scheduler = scheduler
         log_event(
@@ -212,11 +219,41 @@
             term=self.term,
             offset=self._book_follower.position,
             jobs=len(scheduler.state.jobs),
+            phases=len(progress),
             workers=len(scheduler.state.workers),
             took_s=round(now_s - began_s, 3),
         )
         return True
 
+    async def _read_state(self) -> tuple[StoredRecord, ...] | None:
+        """Shut out former owners, then read what they left; return the progress.
+
+        Once both streams are fenced, nobody else writes progress, so that reading
+        its newest records gives the whole of it.
+        """
+        for writer in (self._writer, self._progress_writer):
+            match await writer.fence():
+                case Failure(problem) if problem.code is Code.FENCED:
+                    self._give_up("a newer term is known to the log")
+                    await asyncio.sleep(TAKEOVER_TIMEOUT_S)
+                    return None
+                case Failure(problem):
+                    self._note_take_over_waits(problem)
+                    return None
+        if not await self._book_follower.catch_up(TAKEOVER_TIMEOUT_S):
+            return None
+        if not await self._roster_follower.catch_up(TAKEOVER_TIMEOUT_S):
+            return None
+        match await self._log.read_newest(PROGRESS_STREAM):
+            case Success(newest):
+                return newest.records
+            case Failure(problem):
+                self._note_take_over_waits(problem)
+                return None
+
+    def _note_take_over_waits(self, problem: Problem) -> None:
+        log_event(_logger, "take-over-waits", term=self.term, reason=problem)
+
     # One step.
 
     def _step(self) -> None:
@@ -230,11 +267,27 @@
         for message in inbox:
             self._take_message(message, now_s, now_ms)
         self._take_catalog()
-        if self._writer.get_delay_s(now_s) > STUCK_S:
+        if self._get_append_delay_s(now_s) > STUCK_S:
             return
+        self._tidy(now_s, now_ms)
         self._carry_out(scheduler.decide(now_s, now_ms))
         self._update_sessions()
 
+    def _get_append_delay_s(self, now_s: float) -> float:
+        writers = (self._writer, self._progress_writer)
+        return max(writer.get_delay_s(now_s) for writer in writers)
+
+    def _tidy(self, now_s: float, now_ms: int) -> None:
+        """Drop what is kept of jobs that nobody may ask for any more."""
+        if now_s < self._tidied_s + TIDY_S:
+            return
+        self._tidied_s = now_s
+        expired = self._book.list_expired(now_ms - int(self._keep_s * 1000))
+        if expired:
+            log_event(_logger, "jobs-expired", term=self.term, jobs=len(expired))
+            records = [r for job_id in expired for r in make_expiry_records(job_id)]
+            self._spawn(self._writer.commit(tuple(records)))
+
     def _take_catalog(self) -> None:
         catalog = self._catalog.catalog
         if catalog is not None and catalog.version != self._catalog_version:
@@ -317,16 +370,21 @@
         for name in decided.probes:
             if name in self._sessions:
                 self._sessions[name].probe()
-        if decided.records or decided.starts or decided.seen:
+        if decided.records or decided.starts or decided.seen or decided.ended:
             self._spawn(self._commit(decided))
 
     async def _commit(self, decided: Round) -> None:
-        records = tuple(encode_job_record(record) for record in decided.records)
-        problem = await self._writer.commit(records)
-        if problem is not None:
-            log_event(_logger, "round-dropped", term=self.term, reason=problem)
-            self._wake.set()
-            return
+        jobs, progress = _encode_round(decided)
+        # Either may reach the log without the other: a successor makes the outcome
+        # from the progress, and stops what runs on after an outcome.
+        problems = await asyncio.gather(
+            self._writer.commit(jobs), self._progress_writer.commit(progress)
+        )
+        for problem in problems:
+            if problem is not None:
+                log_event(_logger, "round-dropped", term=self.term, reason=problem)
+                self._wake.set()
+                return
         for name, number in decided.seen.items():
             if name in self._sessions:
                 self._sessions[name].acknowledge(number)
@@ -350,5 +408,19 @@
         task.add_done_callback(self._rounds.discard)
 
 
+def _encode_round(
+    decided: Round,
+) -> tuple[tuple[KeyedRecord, ...], tuple[KeyedRecord, ...]]:
+    """Return what goes to the stream of jobs and to that of progress."""
+    jobs, progress = [], []
+    for record in decided.records:
+        stream = progress if isinstance(record, PhaseProgress) else jobs
+        stream.append(encode_job_record(record))
+    for ended in decided.ended:
+        jobs += make_closing_records(ended.job_id)
+        progress += [make_phase_drop(phase) for phase in ended.phases]
+    return tuple(jobs), tuple(progress)
+
+
 def _get_times() -> tuple[float, int]:
     return asyncio.get_running_loop().time(), int(time.time() * 1000)
--- a/src/larkhoist/control/job_desk.py
+++ b/src/larkhoist/control/job_desk.py
@@ -97,7 +97,7 @@
         entry = self._book.get(job.job_id)
         if entry is not None:
             log_event(_logger, "job-known", job=job.job_id, state=entry.state.value)
-            return self._check_owner(entry, job.customer)
+            return self._check_owner(job.job_id, entry, job.customer)
         began_s = asyncio.get_running_loop().time()
         record = encode_job_record(JobAccepted(job))
         problem = await self._writer.commit((record,), timeout_s)
@@ -167,7 +167,7 @@
                 return self._refuse(Code.NOT_READY, "the state may be old")
         if entry is None:
             return self._refuse(Code.JOB_UNKNOWN, job_id)
-        problem = self._check_owner(entry, permit.customer_name)
+        problem = self._check_owner(job_id, entry, permit.customer_name)
         return Success(entry) if problem is None else Failure(problem)
 
     async def _check(self, follower: StreamFollower) -> bool:
@@ -178,13 +178,15 @@
         """
         return follower.in_touch and await follower.catch_up(self._times.check_s)
 
-    def _check_owner(self, entry: BookEntry, customer: str) -> Problem | None:
-        if entry.job.customer == customer or not customer or not entry.job.customer:
+    def _check_owner(
+        self, job_id: str, entry: BookEntry, customer: str
+    ) -> Problem | None:
+        if entry.customer == customer or not customer or not entry.customer:
             return None
         log_event(
             _logger,
             "refused",
-            job=entry.job.job_id,
+            job=job_id,
             reason=Code.NOT_YOURS.name,
             customer=customer,
         )
--- a/src/larkhoist/control/scheduler_node.py
+++ b/src/larkhoist/control/scheduler_node.py
@@ -215,6 +215,7 @@
             self._create_port,
             self._tenure.may_renew_leases,
             self._tenure.give_up,
+            self._settings.keep_s,
         )
         await self.owner.start()
 
--- a/src/larkhoist/fleet/effects.py
+++ b/src/larkhoist/fleet/effects.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass, field
 
-from larkhoist.jobs.records import JobRecord
+from larkhoist.jobs.records import JobRecord, PhaseId
 
-__all__ = ["Note", "Round", "StartTask", "StopTask"]
+__all__ = ["EndedJob", "Note", "Round", "StartTask", "StopTask"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,13 +35,22 @@
     fields: dict[str, object]
 
 
+@dataclass(frozen=True, slots=True)
+class EndedJob:
+    """Name a job of which only the outcome has to be kept."""
+
+    job_id: str
+    phases: tuple[PhaseId, ...]
+
+
 @dataclass(slots=True)
 class Round:
     """Hold what one call to ``decide`` asks for.
 
     ``seen`` holds, by worker, the number of the last end that ``records`` cover;
     it may be acknowledged once they are on the log. ``probes`` names workers to be
-    asked at once whether they answer.
+    asked at once whether they answer. ``ended`` names jobs none of whose tasks may
+    run any more.
     """
 
     records: list[JobRecord] = field(default_factory=list)
@@ -50,3 +59,4 @@
     notes: list[Note] = field(default_factory=list)
     seen: dict[str, int] = field(default_factory=dict)
     probes: list[str] = field(default_factory=list)
+    ended: list[EndedJob] = field(default_factory=list)
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -79,17 +79,16 @@
                     self.state.stop(phase, task, now_s)
         elif entry.cancelled:
             self.cancel_job(entry.job.job_id, now_s, now_ms)
+        elif active.is_out_of_attempts:
+            # The last failure reached the log and the outcome did not.
+            self.state.end_job(active, Code.JOB_FAILED, now_s, now_ms)
 
     def take_book(self, book: JobBook, now_s: float, now_ms: int) -> None:
-        """Take over every job that has not ended or whose tasks may run."""
+        """Take over every job of which more than the outcome is kept."""
         for entry in book.entries.values():
             if entry.job is None:
                 continue
-            running = any(
-                task.worker for p in entry.phases.values() for task in p.tasks
-            )
-            if entry.outcome is None or running:
-                self.add_job(entry, now_s, now_ms)
+            self.add_job(entry, now_s, now_ms)
 
     def cancel_job(self, job_id: str, now_s: float, now_ms: int) -> None:
         """End a job on its submitter's wish."""
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -8,7 +8,7 @@
 
 from larkhoist.codes import Code
 from larkhoist.fleet.doubts import HallDoubts
-from larkhoist.fleet.effects import Note, Round, StartTask, StopTask
+from larkhoist.fleet.effects import EndedJob, Note, Round, StartTask, StopTask
 from larkhoist.fleet.headroom import UrgentDemand
 from larkhoist.fleet.policy import FleetPolicy
 from larkhoist.fleet.runtimes import QueueRuntimes
@@ -16,7 +16,7 @@
 from larkhoist.fleet.task import ActiveJob, Phase, Task, TaskState, create_phase
 from larkhoist.fleet.worker import FleetWorker
 from larkhoist.jobs.book import BookEntry
-from larkhoist.jobs.records import JobOutcome
+from larkhoist.jobs.records import JobBegun, JobOutcome
 from larkhoist.scheduling.quarantine import Quarantine
 
 __all__ = ["FleetState"]
@@ -46,6 +46,7 @@
         job = entry.job
         active = ActiveJob(job, now_s + (job.submitted_ms - now_ms) / 1000)
         active.ended = entry.outcome is not None
+        active.begun = entry.begun
         kept = {(p.run, p.step): value for p, value in entry.phases.items()}
         for run in range(job.run_count):
             due_s = now_s + (job.get_due_ms(run) - now_ms) / 1000
@@ -64,7 +65,8 @@
             return
         active.ended = True
         job_id = active.job.job_id
-        self.round.records.append(JobOutcome(job_id, code, now_ms))
+        outcome = JobOutcome(job_id, code, now_ms, active.job.customer)
+        self.round.records.append(outcome)
         self.note("job-ended", job=job_id, result=code.name.lower())
         for phase in active.phases.values():
             self.drop_plan(phase)
@@ -78,6 +80,8 @@
             for task in phase.tasks:
                 self._tasks.pop(task.name, None)
         del self.jobs[active.job.job_id]
+        phases = tuple(phase.id for phase in active.phases.values())
+        self.round.ended.append(EndedJob(active.job.job_id, phases))
 
     def iter_phases(self) -> Iterator[tuple[ActiveJob, Phase]]:
         """Yield every phase with its job."""
@@ -139,6 +143,9 @@
                 )
             )
         self.touch(phase)
+        if not active.begun:
+            active.begun = True
+            self.round.records.append(JobBegun(phase.id.job_id))
         self.note(
             "start-decided",
             job=phase.id.job_id,
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -141,6 +141,7 @@
     submitted_s: float
     phases: dict[tuple[int, int], Phase] = field(default_factory=dict)
     ended: bool = False
+    begun: bool = False
     firm: bool = False
 
     @property
@@ -148,6 +149,16 @@
         """Return the priority, 0 being the most urgent."""
         return self.job.terms.priority
 
+    @property
+    def is_out_of_attempts(self) -> bool:
+        """Tell whether a task that must end has failed as often as it may."""
+        return any(
+            task.failures >= self.job.terms.max_attempts
+            for phase in self.phases.values()
+            if not phase.spec.long_running
+            for task in phase.tasks
+        )
+
     def get_phases(self, run: int) -> list[Phase]:
         """Return the phases of one run in the order of the steps."""
         return [self.phases[(run, step)] for step in range(len(self.job.steps))]
--- a/src/larkhoist/jobs/book.py
+++ b/src/larkhoist/jobs/book.py
@@ -13,6 +13,7 @@
 from larkhoist.codes import Code
 from larkhoist.jobs.records import (
     JobAccepted,
+    JobBegun,
     JobCancelRequested,
     JobOutcome,
     JobRecord,
@@ -45,10 +46,14 @@
 
 @dataclass(slots=True)
 class BookEntry:
-    """Hold what the log says of one job; records of a job may come in any order."""
+    """Hold what the log says of one job; records of a job may come in any order.
+
+    Of an ended job, ``job`` may be gone. ``phases`` is what the owner took over.
+    """
 
     job: StagedJob | None = None
     cancelled: bool = False
+    begun: bool = False
     outcome: JobOutcome | None = None
     phases: dict[PhaseId, PhaseProgress] = field(default_factory=dict)
 
@@ -59,12 +64,14 @@
             return _OUTCOME_STATES[Code(self.outcome.code)]
         if self.cancelled:
             return JobState.CANCELLED
-        return JobState.RUNNING if self.has_begun else JobState.WAITING
+        return JobState.RUNNING if self.begun else JobState.WAITING
 
     @property
-    def has_begun(self) -> bool:
-        """Tell whether a task of the job was ever ordered to start."""
-        return any(t.attempt for p in self.phases.values() for t in p.tasks)
+    def customer(self) -> str:
+        """Return the name of the customer, empty where the queue was public."""
+        if self.job is not None:
+            return self.job.customer
+        return self.outcome.customer if self.outcome is not None else ""
 
 
 class JobBook:
@@ -97,7 +104,9 @@
     def get(self, job_id: str) -> BookEntry | None:
         """Return the entry of an accepted job."""
         entry = self.entries.get(job_id)
-        return entry if entry is not None and entry.job is not None else None
+        if entry is None or (entry.job is None and entry.outcome is None):
+            return None
+        return entry
 
     def count_waiting(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have not begun."""
@@ -108,14 +117,36 @@
             for entry in self.entries.values()
         )
 
+    def take_progress(self, records: Iterable[StoredRecord]) -> None:
+        """Take over the progress of all jobs in place of what was known of it.
+
+        Progress of a job that the book does not hold is left out.
+        """
+        for entry in self.entries.values():
+            entry.phases = {}
+        for record in records:
+            decoded = decode_job_record(record.value)
+            if decoded.phase.job_id in self.entries:
+                self._take(decoded)
+
+    def list_expired(self, before_ms: int) -> list[str]:
+        """Return the jobs that ended before a time (Unix milliseconds)."""
+        return [
+            job_id
+            for job_id, entry in self.entries.items()
+            if entry.outcome is not None and entry.outcome.at_ms < before_ms
+        ]
+
     def _take(self, record: JobRecord) -> None:
         match record:
             case JobAccepted(job):
                 entry = self._open(job.job_id)
-                if entry.job is None:
+                if entry.job is None and entry.outcome is None:
                     entry.job = job
             case JobCancelRequested(job_id):
                 self._open(job_id).cancelled = True
+            case JobBegun(job_id):
+                self._open(job_id).begun = True
             case PhaseProgress(phase):
                 self._open(phase.job_id).phases[phase] = record
             case JobOutcome(job_id):
@@ -125,6 +156,12 @@
         return self.entries.setdefault(job_id, BookEntry())
 
     def _drop(self, key: str) -> None:
-        # Only the key of the acceptance ends an entry; the others go with it.
-        if key.startswith("a"):
-            self.entries.pop(key[1:], None)
+        job_id = key[1:]
+        entry = self.entries.get(job_id)
+        if entry is None:
+            return
+        if key.startswith("o") or key.startswith("a") and entry.outcome is None:
+            del self.entries[job_id]
+        elif key.startswith("a"):
+            entry.job = None
+            entry.phases = {}
--- a/src/larkhoist/jobs/records.py
+++ b/src/larkhoist/jobs/records.py
@@ -1,8 +1,12 @@
 """Hold the records that keep staged jobs on the platform's log.
 
 Each aspect of a job has a key of its own, and each key one kind of writer:
-acceptance and cancellation come from any instance, progress and outcome from the
-owner alone. The newest record of a key is the whole truth about it.
+acceptance and cancellation come from any instance, the others from the owner
+alone. The newest record of a key is the whole truth about it.
+
+Every instance follows the stream of jobs. Progress has a stream of its own, which
+only a new owner reads. Once a job has ended and none of its tasks may run, its
+outcome is all that is kept, until nobody may ask for it any more.
 """
 
 import msgspec
@@ -12,7 +16,9 @@
 
 __all__ = [
     "JOB_STREAM",
+    "PROGRESS_STREAM",
     "JobAccepted",
+    "JobBegun",
     "JobCancelRequested",
     "JobOutcome",
     "JobRecord",
@@ -21,9 +27,13 @@
     "TaskProgress",
     "decode_job_record",
     "encode_job_record",
+    "make_closing_records",
+    "make_expiry_records",
+    "make_phase_drop",
 ]
 
 JOB_STREAM = "jobs"
+PROGRESS_STREAM = "progress"
 
 
 class PhaseId(msgspec.Struct, frozen=True, array_like=True, order=True):
@@ -46,6 +56,12 @@
     job_id: str
 
 
+class JobBegun(msgspec.Struct, frozen=True, tag="b"):
+    """Tell that a task of the job was ordered to start."""
+
+    job_id: str
+
+
 class TaskProgress(msgspec.Struct, frozen=True, array_like=True):
     """Hold what must outlive the owner of one task.
 
@@ -69,14 +85,18 @@
 
 
 class JobOutcome(msgspec.Struct, frozen=True, tag="o"):
-    """Hold how a job ended, as a result code, and when (Unix milliseconds)."""
+    """Hold how a job ended, as a result code, and when (Unix milliseconds).
+
+    ``customer`` is who may ask, since nothing else is kept of an ended job.
+    """
 
     job_id: str
     code: int
     at_ms: int
+    customer: str = ""
 
 
-JobRecord = JobAccepted | JobCancelRequested | PhaseProgress | JobOutcome
+JobRecord = JobAccepted | JobCancelRequested | JobBegun | PhaseProgress | JobOutcome
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(JobRecord)
@@ -89,13 +109,37 @@
             key = f"a{job.job_id}"
         case JobCancelRequested(job_id):
             key = f"c{job_id}"
+        case JobBegun(job_id):
+            key = f"b{job_id}"
         case PhaseProgress(phase):
-            key = f"p{phase.job_id}.{phase.run}.{phase.step}"
+            key = _make_phase_key(phase)
         case JobOutcome(job_id):
             key = f"o{job_id}"
     return KeyedRecord(key, _encoder.encode(record))
 
 
+def make_closing_records(job_id: str) -> tuple[KeyedRecord, ...]:
+    """Return what leaves only the outcome of an ended job on the stream of jobs."""
+    return tuple(KeyedRecord(f"{kind}{job_id}", b"") for kind in "abc")
+
+
+def make_expiry_records(job_id: str) -> tuple[KeyedRecord, ...]:
+    """Return what leaves nothing of an ended job on the stream of jobs.
+
+    A caller's late repeat may have brought the acceptance back.
+    """
+    return (*make_closing_records(job_id), KeyedRecord(f"o{job_id}", b""))
+
+
+def make_phase_drop(phase: PhaseId) -> KeyedRecord:
+    """Return what drops a phase from the stream of progress."""
+    return KeyedRecord(_make_phase_key(phase), b"")
+
+
 def decode_job_record(value: bytes) -> JobRecord:
     """Return the record in ``value``; raises ``msgspec.DecodeError``."""
     return _decoder.decode(value)
+
+
+def _make_phase_key(phase: PhaseId) -> str:
+    return f"p{phase.job_id}.{phase.run}.{phase.step}"
--- a/tests/test_job_book.py
+++ b/tests/test_job_book.py
@@ -6,12 +6,15 @@
 from larkhoist.jobs.book import JobBook, JobState
 from larkhoist.jobs.records import (
     JobAccepted,
+    JobBegun,
     JobCancelRequested,
     JobOutcome,
     PhaseId,
     PhaseProgress,
     TaskProgress,
     encode_job_record,
+    make_closing_records,
+    make_expiry_records,
 )
 from larkhoist.jobs.spec import JobTerms, StagedJob, StepSpec
 from larkhoist.ports.keyed_log import StoredRecord
@@ -21,7 +24,10 @@
 )
 ACCEPTED = JobAccepted(JOB)
 CANCELLED = JobCancelRequested("job")
-BEGUN = PhaseProgress(PhaseId("job", 0, 0), (TaskProgress(1, "w1"), TaskProgress()))
+BEGUN = JobBegun("job")
+FINISHED = JobOutcome("job", Code.JOB_FINISHED, 9, "ann")
+PHASE = PhaseId("job", 0, 0)
+PROGRESS = PhaseProgress(PHASE, (TaskProgress(1, "w1"), TaskProgress()))
 
 
 def fold(*records) -> JobBook:
@@ -80,3 +86,44 @@
     book = fold(ACCEPTED)
     assert book.apply(StoredRecord(1, "ajob", b"\xff")) is None
     assert book.get("job").job == JOB
+
+
+def apply_all(book, kept_records) -> None:
+    for kept in kept_records:
+        book.apply(StoredRecord(9, kept.key, kept.value))
+
+
+def test_of_an_ended_job_the_outcome_is_kept():
+    book = fold(ACCEPTED, BEGUN, FINISHED)
+    apply_all(book, make_closing_records("job"))
+    entry = book.get("job")
+    assert entry.state is JobState.FINISHED
+    assert entry.customer == "ann"
+    assert entry.job is None
+
+
+def test_an_ended_job_that_is_sent_again_stays_ended():
+    book = fold(ACCEPTED, FINISHED)
+    apply_all(book, make_closing_records("job"))
+    book.apply(StoredRecord(9, "ajob", encode_job_record(ACCEPTED).value))
+    assert book.get("job").state is JobState.FINISHED
+    assert book.count_waiting("queue") == 0
+
+
+def test_nothing_is_kept_of_a_job_that_expired():
+    book = fold(ACCEPTED, FINISHED)
+    assert book.list_expired(9) == []
+    assert book.list_expired(10) == ["job"]
+    apply_all(book, make_expiry_records("job"))
+    assert book.entries == {}
+
+
+def test_progress_replaces_what_was_known_of_it():
+    book = fold(ACCEPTED)
+    kept = encode_job_record(PROGRESS)
+    other = encode_job_record(PhaseProgress(PhaseId("gone", 0, 0), ()))
+    book.take_progress([StoredRecord(1, r.key, r.value) for r in (kept, other)])
+    assert book.get("job").phases == {PHASE: PROGRESS}
+    assert list(book.entries) == ["job"]
+    book.take_progress([])
+    assert book.get("job").phases == {}
