Drop progress only after the outcome is kept; test halves of a round

Cause: a round's two streams may get their parts one without the other. With the drop of progress in the same append as progress, an owner that dies in between leaves a job without outcome and without progress, which its successor runs anew.

Change: progress is dropped after the outcome is on the log; a successor drops what its predecessor left of closed jobs. The interleavings now let one stream of the round under way get its part alone, and check that nothing but the outcome is kept of an ended job (in place of a look at its progress, which is no longer kept).

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -10,6 +10,7 @@
 from larkhoist.codes import Code
 from larkhoist.control.catalog_keeper import CatalogKeeper
 from larkhoist.control.roster_keeper import RosterKeeper
+from larkhoist.control.round_records import encode_round
 from larkhoist.control.stream_follower import StreamFollower
 from larkhoist.control.stream_writer import StreamWriter
 from larkhoist.control.worker_session import (
@@ -33,13 +34,10 @@
     JobAccepted,
     JobCancelRequested,
     JobRecord,
-    PhaseProgress,
-    encode_job_record,
-    make_closing_records,
     make_expiry_records,
     make_phase_drop,
 )
-from larkhoist.ports.keyed_log import KeyedLogPort, KeyedRecord, StoredRecord
+from larkhoist.ports.keyed_log import KeyedLogPort, StoredRecord
 from larkhoist.ports.task_worker import TaskWorkerPort
 from larkhoist.problem import Problem
 
@@ -210,7 +208,7 @@
         now_s, now_ms = _get_times()
         scheduler = create_fleet_scheduler(self._policy, now_s)
         scheduler.take_list(self._roster.list_entries(), now_s)
-        self._book.take_progress(progress)
+        left_over = self._book.take_progress(progress)
         scheduler.take_book(self._book, now_s, now_ms)
         self.scheduler = scheduler
         log_event(
@@ -221,8 +219,12 @@
             jobs=len(scheduler.state.jobs),
             phases=len(progress),
             workers=len(scheduler.state.workers),
+            left_over=len(left_over),
             took_s=round(now_s - began_s, 3),
         )
+        if left_over:
+            drops = tuple(make_phase_drop(phase) for phase in left_over)
+            self._spawn(self._progress_writer.commit(drops))
         return True
 
     async def _read_state(self) -> tuple[StoredRecord, ...] | None:
@@ -374,11 +376,10 @@
             self._spawn(self._commit(decided))
 
     async def _commit(self, decided: Round) -> None:
-        jobs, progress = _encode_round(decided)
-        # Either may reach the log without the other: a successor makes the outcome
-        # from the progress, and stops what runs on after an outcome.
+        records = encode_round(decided)
         problems = await asyncio.gather(
-            self._writer.commit(jobs), self._progress_writer.commit(progress)
+            self._writer.commit(records.jobs),
+            self._progress_writer.commit(records.progress),
         )
         for problem in problems:
             if problem is not None:
@@ -390,6 +391,8 @@
                 self._sessions[name].acknowledge(number)
         for order in decided.starts:
             self._send_start(order)
+        if records.dropped:
+            await self._progress_writer.commit(records.dropped)
 
     def _send_start(self, order: StartTask) -> None:
         now_s, _ = _get_times()
@@ -408,19 +411,5 @@
         task.add_done_callback(self._rounds.discard)
 
 
-def _encode_round(
-    decided: Round,
-) -> tuple[tuple[KeyedRecord, ...], tuple[KeyedRecord, ...]]:
-    """Return what goes to the stream of jobs and to that of progress."""
-    jobs, progress = [], []
-    for record in decided.records:
-        stream = progress if isinstance(record, PhaseProgress) else jobs
-        stream.append(encode_job_record(record))
-    for ended in decided.ended:
-        jobs += make_closing_records(ended.job_id)
-        progress += [make_phase_drop(phase) for phase in ended.phases]
-    return tuple(jobs), tuple(progress)
-
-
 def _get_times() -> tuple[float, int]:
     return asyncio.get_running_loop().time(), int(time.time() * 1000)
--- a/src/larkhoist/control/job_desk.py
+++ b/src/larkhoist/control/job_desk.py
@@ -107,6 +107,7 @@
             job=job.job_id,
             queue=job.queue,
             customer=job.customer,
+            priority=job.terms.priority,
             steps=len(job.steps),
             tasks=sum(step.count for step in job.steps),
             took_s=round(asyncio.get_running_loop().time() - began_s, 3),
--- a/src/larkhoist/jobs/book.py
+++ b/src/larkhoist/jobs/book.py
@@ -117,17 +117,23 @@
             for entry in self.entries.values()
         )
 
-    def take_progress(self, records: Iterable[StoredRecord]) -> None:
+    def take_progress(self, records: Iterable[StoredRecord]) -> list[PhaseId]:
         """Take over the progress of all jobs in place of what was known of it.
 
-        Progress of a job that the book does not hold is left out.
+        Returns the phases of jobs that are closed: their owner died before it had
+        dropped them.
         """
         for entry in self.entries.values():
             entry.phases = {}
+        left_over = []
         for record in records:
             decoded = decode_job_record(record.value)
-            if decoded.phase.job_id in self.entries:
-                self._take(decoded)
+            entry = self.entries.get(decoded.phase.job_id)
+            if entry is None or entry.job is None:
+                left_over.append(decoded.phase)
+            else:
+                entry.phases[decoded.phase] = decoded
+        return left_over
 
     def list_expired(self, before_ms: int) -> list[str]:
         """Return the jobs that ended before a time (Unix milliseconds)."""
--- a/tests/fleet/checks.py
+++ b/tests/fleet/checks.py
@@ -28,13 +28,15 @@
 def check_outcomes(machine: FleetMachine) -> None:
     """Raise ``AssertionError`` where a job has not ended as its tasks did."""
     done = {run.task for run in machine.world.history if run.kind is EndKind.DONE}
+    assert machine.book.entries.keys() == machine.jobs.keys()
+    # Of a job that has ended, the outcome alone is kept.
+    assert machine.progress == {}
     for job_id, entry in machine.book.entries.items():
         assert entry.outcome is not None, f"job {job_id} has no outcome"
+        assert entry.job is None, f"the whole of {job_id} is kept"
         if entry.outcome.code != Code.JOB_FINISHED:
             continue
-        for phase in entry.phases.values():
-            assert all(task.done for task in phase.tasks), f"{job_id} is not done"
-        for step, spec in enumerate(entry.job.steps):
+        for step, spec in enumerate(machine.jobs[job_id].steps):
             for index in range(spec.count):
                 task = f"{job_id}.0.{step}.{index}"
                 gang = any(name.startswith(f"{job_id}.0.{step}.") for name in done)
@@ -51,14 +53,14 @@
 
 
 def _check_budget(machine: FleetMachine, task: str, runs: list[Run]) -> None:
-    entry = machine.book.get(task.split(".")[0])
+    job = machine.jobs[task.split(".")[0]]
     failed = sum(run.kind is EndKind.FAILED and run.noted for run in runs)
-    assert failed <= entry.job.terms.max_attempts, f"{task} failed {failed} times"
+    assert failed <= job.terms.max_attempts, f"{task} failed {failed} times"
 
 
 def _check_order(machine, task: str, runs: list[Run], by_task) -> None:
     job_id, _, step, _ = task.split(".")
-    job = machine.book.get(job_id).job
+    job = machine.jobs[job_id]
     for before in job.steps[int(step)].depends_on:
         spec = job.steps[before]
         for index in range(spec.count):
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Success
 
 from larkhoist.codes import Code
+from larkhoist.control.round_records import encode_round
 from larkhoist.fleet.effects import Round, StartTask, StopTask
 from larkhoist.fleet.policy import FleetPolicy
 from larkhoist.fleet.scheduler import FleetScheduler, create_fleet_scheduler
@@ -19,9 +20,10 @@
     JobCancelRequested,
     JobRecord,
     encode_job_record,
+    make_phase_drop,
 )
 from larkhoist.jobs.spec import StagedJob
-from larkhoist.ports.keyed_log import StoredRecord
+from larkhoist.ports.keyed_log import KeyedRecord, StoredRecord
 from larkhoist.ports.task_worker import LeaseCall, StartOrder, StopOrder
 from tests.fleet.sim_worker import LEASE_S, SimWorker, SimWorld, make_listed
 
@@ -62,6 +64,8 @@
         self.random = random.Random(seed)
         self.now_s = 100.0
         self.book = JobBook()
+        self.progress: dict[str, StoredRecord] = {}
+        self.jobs: dict[str, StagedJob] = {}
         self.offset = 0
         self.cancelled_s: dict[str, float] = {}
         self.cut: set[str] = set()
@@ -81,9 +85,11 @@
 
     def submit(self, job: StagedJob) -> None:
         """Accept a job."""
+        self.jobs[job.job_id] = job
         self._append(JobAccepted(job))
         entry = self.book.get(job.job_id)
-        self.owner.scheduler.add_job(entry, self.now_s, self.now_ms)
+        if entry.outcome is None:
+            self.owner.scheduler.add_job(entry, self.now_s, self.now_ms)
 
     def cancel(self, job_id: str) -> None:
         """Accept a cancellation."""
@@ -92,12 +98,25 @@
         self.owner.scheduler.cancel_job(job_id, self.now_s, self.now_ms)
 
     def replace_owner(self) -> None:
-        """Let another instance take over from what the log holds."""
+        """Let another instance take over from what the log holds.
+
+        Of the round that was under way, one stream may have got its part alone.
+        """
+        if self.owner is not None and self.owner.uncommitted:
+            decided = self.owner.uncommitted[0]
+            records = encode_round(decided)
+            match self.random.randrange(3):
+                case 0:
+                    self._keep_jobs(records.jobs)
+                case 1:
+                    self._keep_progress(records.progress)
         self.term += 1
         policy = FleetPolicy(lease_s=LEASE_S, predecessor_s=1.0)
         scheduler = create_fleet_scheduler(policy, self.now_s)
         scheduler.set_guarantees(self.guarantees)
         scheduler.take_list(self._list_workers(), self.now_s)
+        left_over = self.book.take_progress(self.progress.values())
+        self._keep_progress(tuple(make_phase_drop(phase) for phase in left_over))
         scheduler.take_book(self.book, self.now_s, self.now_ms)
         self.owner = _Owner(self.term, scheduler)
 
@@ -165,8 +184,9 @@
                 raise AssertionError(f"the newest owner was refused: {problem}")
 
     def _commit(self, owner: _Owner, decided: Round) -> None:
-        for record in decided.records:
-            self._append(record)
+        records = encode_round(decided)
+        self._keep_jobs(records.jobs)
+        self._keep_progress((*records.progress, *records.dropped))
         for name, number in decided.seen.items():
             owner.acknowledged[name] = max(owner.acknowledged.get(name, 0), number)
         for start in decided.starts:
@@ -243,6 +263,15 @@
         ]
 
     def _append(self, record: JobRecord) -> None:
-        kept = encode_job_record(record)
-        self.book.apply(StoredRecord(self.offset, kept.key, kept.value))
-        self.offset += 1
+        self._keep_jobs((encode_job_record(record),))
+
+    def _keep_jobs(self, records: tuple[KeyedRecord, ...]) -> None:
+        for kept in records:
+            self.book.apply(StoredRecord(self.offset, kept.key, kept.value))
+            self.offset += 1
+
+    def _keep_progress(self, records: tuple[KeyedRecord, ...]) -> None:
+        for kept in records:
+            self.progress.pop(kept.key, None)
+            if kept.value:
+                self.progress[kept.key] = StoredRecord(0, kept.key, kept.value)
--- a/tests/fleet/test_scheduler.py
+++ b/tests/fleet/test_scheduler.py
@@ -3,7 +3,15 @@
 from msgspec.structs import replace
 
 from larkhoist.codes import Code
-from larkhoist.jobs.records import JobOutcome
+from larkhoist.control.round_records import encode_round
+from larkhoist.jobs.book import BookEntry
+from larkhoist.jobs.records import (
+    JobBegun,
+    JobOutcome,
+    PhaseId,
+    PhaseProgress,
+    TaskProgress,
+)
 from larkhoist.jobs.spec import StepSpec
 from larkhoist.ports.task_worker import EndedTask, EndKind, WorkerReport
 from tests.fleet.cases import make_job, make_machine
@@ -212,6 +220,10 @@
     machine = make_machine(1, (job,), work_s=0.3)
     machine.submit(job)
     machine.run(3)
+    # Once before the outcome is read, once after it.
+    late = BookEntry(job=job)
+    machine.owner.scheduler.add_job(late, machine.now_s, machine.now_ms)
+    machine.run(3)
     machine.submit(job)
     machine.run(3)
     assert len(machine.world.history) == 1
@@ -332,3 +344,45 @@
     assert Code.JOB_FINISHED in [
         r.code for r in decided.records if isinstance(r, JobOutcome)
     ]
+
+
+def test_a_successor_ends_a_job_whose_last_failure_is_all_that_was_kept():
+    # The outcome goes to another stream and may be lost with the owner.
+    job = make_job(1, ONE, max_attempts=1)
+    progress = PhaseProgress(
+        PhaseId(job.job_id, 0, 0), (TaskProgress(attempt=1, failures=1),)
+    )
+    machine = make_machine(1, (job,))
+    entry = BookEntry(job=job, phases={progress.phase: progress})
+    machine.owner.scheduler.add_job(entry, machine.now_s, machine.now_ms)
+    decided = machine.owner.scheduler.decide(machine.now_s, machine.now_ms)
+    assert not decided.starts
+    assert [r.code for r in decided.records if isinstance(r, JobOutcome)] == [
+        Code.JOB_FAILED
+    ]
+
+
+def test_progress_is_dropped_only_after_the_outcome_is_kept():
+    job = make_job(1, ONE)
+    machine = make_machine(1, (job,), work_s=0.3)
+    machine.submit(job)
+    rounds = []
+    for _ in range(40):
+        machine.step()
+        rounds += [encode_round(r) for r in machine.owner.uncommitted]
+    last = next(r for r in rounds if r.dropped)
+    assert [kept.key[0] for kept in last.jobs] == ["o", "a", "b", "c"]
+    assert [kept.key[0] for kept in last.progress] == ["p"]
+    assert [(kept.key[0], kept.value) for kept in last.dropped] == [("p", b"")]
+
+
+def test_a_job_has_begun_once():
+    job = make_job(1, StepSpec(count=2, accelerators=8))
+    machine = make_machine(1, (job,), work_s=0.5)
+    machine.submit(job)
+    rounds = []
+    for _ in range(40):
+        machine.step()
+        rounds += machine.owner.uncommitted
+    begun = [r for round_ in rounds for r in round_.records if isinstance(r, JobBegun)]
+    assert begun == [JobBegun(job.job_id)]
--- a/tests/test_job_book.py
+++ b/tests/test_job_book.py
@@ -122,7 +122,8 @@
     book = fold(ACCEPTED)
     kept = encode_job_record(PROGRESS)
     other = encode_job_record(PhaseProgress(PhaseId("gone", 0, 0), ()))
-    book.take_progress([StoredRecord(1, r.key, r.value) for r in (kept, other)])
+    records = [StoredRecord(1, r.key, r.value) for r in (kept, other)]
+    assert book.take_progress(records) == [PhaseId("gone", 0, 0)]
     assert book.get("job").phases == {PHASE: PROGRESS}
     assert list(book.entries) == ["job"]
     book.take_progress([])
