--- a/tests/control/memory_log.py
+++ b/tests/control/memory_log.py
@@ -34,6 +34,7 @@
         self.lose = 0
         self.hold = 0
         self.appends = 0
+        self.reads = 0
         self._epochs: dict[str, int] = {}
         self._answers: dict[WrittenBy, int] = {}
 
@@ -74,6 +75,7 @@
     async def read(
         self, stream: str, offset: int, wait_s: float
     ) -> Result[StreamPage, Problem]:
+        self.reads += 1
         await asyncio.sleep(0.001)
         await self._answer()
         if self.down:
--- a/tests/control/test_streams.py
+++ b/tests/control/test_streams.py
@@ -148,3 +148,41 @@
     log.silent = False
     assert await follower.catch_up(5)
     assert follower.in_touch
+
+
+async def test_checks_that_come_together_share_one_read(log, writer):
+    await writer.commit(record(1))
+    follower = StreamFollower(log, "jobs", Sink(), 0.01)
+    assert await follower.catch_up(5)
+    before = log.reads
+    checks = [asyncio.create_task(follower.catch_up(5)) for _ in range(20)]
+    await asyncio.sleep(0)
+    late = asyncio.create_task(follower.catch_up(5))
+    assert await asyncio.gather(*checks, late) == [True] * 21
+    # The first one began before the others were asked for: they share the next.
+    assert log.reads - before <= 2
+
+
+async def test_a_check_reads_what_was_written_before_it(log, writer):
+    sink = Sink()
+    follower = StreamFollower(log, "jobs", sink, 0.01)
+    for number in range(1, 20):
+        under_way = asyncio.create_task(follower.catch_up(5))
+        await asyncio.sleep(0.0005 * (number % 4))
+        await writer.commit(record(number))
+        assert await follower.catch_up(5)
+        assert sink.values[-1] == str(number).encode()
+        await under_way
+
+
+async def test_a_follower_says_what_holds_it_up(log, caplog, monkeypatch):
+    monkeypatch.setattr("larkhoist.control.stream_follower.HELD_UP_S", 0.05)
+    follower = StreamFollower(log, "jobs", Sink(), 0.01)
+    log.down = True
+    await follower.start()
+    with caplog.at_level("INFO"):
+        await wait_for(lambda: "stream-held-up" in caplog.text)
+        log.down = False
+        await wait_for(lambda: "stream-regained" in caplog.text)
+    await follower.close()
+    assert follower.is_loaded
