Read the log less often

Change: a watcher looks at the tenure once in the time after which silence counts, at a moment drawn by chance, in place of each 0.4 s; the jobs are read each 0.8 s while they change, and not when a caller's check has just read them; a read of the configuration waits for a share of the time in which it must be in force. An instance is ready by the configuration while callers are judged by it without a look at the log.

Ruled out: longer waits for the configuration with the old bound on readiness, 2 s for both streams (the state would look older than that between two reads; seen in reading).

--- a/src/larkhoist/control/scheduler_node.py
+++ b/src/larkhoist/control/scheduler_node.py
@@ -26,11 +26,14 @@
 __all__ = ["SchedulerNode", "create_scheduler_node"]
 
 _logger = logging.getLogger(__name__)
-CONFIG_WAIT_S = 0.8
-"""A lost answer must not make the configuration older than callers may see."""
-BOOK_WAIT_S = 1.0
-BOOK_PAUSE_S = 0.3
-"""Callers that need the present state have the log read at once."""
+CONFIG_WAIT_SHARE = 0.4
+"""How much of the time in which a configuration must be in force one read waits: a
+lost answer must not make it older than callers may see."""
+BOOK_WAIT_S = 0.5
+BOOK_PAUSE_S = 0.8
+"""While nothing comes, the state is as old as two waits and a pause: less than the age
+at which an instance calls itself not ready. Callers that need the present state have
+the log read at once."""
 ROSTER_PAUSE_S = 0.5
 """A leaving worker must be known well within the time it takes to leave."""
 READY_AGE_S = 2.0
@@ -76,7 +79,10 @@
             patience_s=get_claim_patience_s(settings.cores)
         )
         self._catalog_follower = StreamFollower(
-            log, CONFIGURATION_STREAM, self.catalog, CONFIG_WAIT_S
+            log,
+            CONFIGURATION_STREAM,
+            self.catalog,
+            CONFIG_WAIT_SHARE * settings.apply_s,
         )
         self._book_follower = StreamFollower(
             log, JOB_STREAM, _BookSink(self), BOOK_WAIT_S, BOOK_PAUSE_S
@@ -89,13 +95,14 @@
             self._is_eligible,
             self._change_term,
         )
+        self._desk_times = DeskTimes(config_age_s=0.9 * settings.apply_s)
         self.desk = JobDesk(
             self.catalog,
             self._catalog_follower,
             self.book,
             self._book_follower,
             self._writer,
-            DeskTimes(config_age_s=0.9 * settings.apply_s),
+            self._desk_times,
         )
         self.catalog.on_change = self._wake_owner
         self._leaving = False
@@ -146,8 +153,11 @@
         """Tell whether callers are answered by a current state."""
         if self._leaving or self.catalog.catalog is None:
             return False
-        oldest_s = min(self._catalog_follower.synced_s, self._book_follower.synced_s)
-        return now_s - oldest_s <= READY_AGE_S and not self.is_append_stuck(now_s)
+        if now_s - self._catalog_follower.synced_s > self._desk_times.config_age_s:
+            return False
+        if now_s - self._book_follower.synced_s > READY_AGE_S:
+            return False
+        return not self.is_append_stuck(now_s)
 
     def is_append_stuck(self, now_s: float) -> bool:
         """Tell whether records have been waiting for the log for long."""
--- a/src/larkhoist/control/stream_follower.py
+++ b/src/larkhoist/control/stream_follower.py
@@ -128,11 +128,18 @@
         while True:
             if await self._step():
                 backoff_s = FIRST_BACKOFF_S
-                await asyncio.sleep(self.pause_s)
+                await self._pause()
             else:
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(backoff_s * 2, LONGEST_BACKOFF_S)
 
+    async def _pause(self) -> None:
+        """Wait until the last read, a caller's check included, is old enough."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        while (left_s := max(began_s, self.synced_s) + self.pause_s - loop.time()) > 0:
+            await asyncio.sleep(left_s)
+
     async def _step(self) -> bool:
         if self._position is None:
             return await self._load()
--- a/src/larkhoist/control/tenure_keeper.py
+++ b/src/larkhoist/control/tenure_keeper.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 
 import msgspec
@@ -26,6 +27,8 @@
 
 _logger = logging.getLogger(__name__)
 RELEASE_TIMEOUT_S = 0.5
+WATCH_SLACK_S = 0.02
+"""Timers fire a little late; a look just before the time would have to be repeated."""
 INHERIT_S = 0.05
 """How often a restarted holder looks whether it may claim already."""
 RETRY_RENEWAL_S = 0.1
@@ -51,6 +54,7 @@
         self._view = TenureView()
         self._loaded = False
         self._answer_times = create_answer_times()
+        self._first_pause_share = random.random()
         self._task: asyncio.Task | None = None
         self.term = 0
         self.confirmed_s = float("-inf")
@@ -96,9 +100,25 @@
                     await self._claim()
                 case TenureStep.WATCH:
                     await self._watch()
-                    inherited = self._view.inherited
-                    pause_s = INHERIT_S if inherited else self._times.watch_s
-                    await asyncio.sleep(pause_s)
+                    await asyncio.sleep(self._get_watch_pause_s())
+
+    def _get_watch_pause_s(self) -> float:
+        """Return when to look at the stream again.
+
+        While the holder renews, one look in the time after which its silence counts
+        is enough: a second one without a record in between is the proof. The first
+        pause is shorter by chance, so that instances that started together look at
+        different times and one of them soon after the last renewal.
+        """
+        if self._view.inherited:
+            return INHERIT_S
+        newest = self._view.newest
+        is_read = self._loaded and self._view.watched_s < float("inf")
+        if not is_read or newest is None or newest.released:
+            return self._times.watch_s
+        pause_s = self._times.silence_s + self._times.patience_s + WATCH_SLACK_S
+        share, self._first_pause_share = self._first_pause_share, 1.0
+        return share * pause_s
 
     async def _claim(self) -> None:
         asked_s = asyncio.get_running_loop().time()
--- a/tests/control/test_tenure_keeper.py
+++ b/tests/control/test_tenure_keeper.py
@@ -180,3 +180,14 @@
     before = len(keepers.log.streams["tenure"])
     await keepers.wait_for(lambda: len(keepers.log.streams["tenure"]) > before + 2)
     assert [name for name, term in keepers.terms if term] == ["a"]
+
+
+async def test_watchers_read_seldom_while_the_holder_renews(keepers):
+    first = await keepers.add("a")
+    await keepers.wait_for(lambda: first.term)
+    await keepers.add("b")
+    log = keepers.log
+    reads, renewals = log.reads, len(log.streams["tenure"])
+    await keepers.wait_for(lambda: len(log.streams["tenure"]) >= renewals + 40)
+    assert log.reads - reads <= 20
+    assert [name for name, term in keepers.terms if term] == ["a"]
