--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PYTHON ?= python3
 SEEDS ?= 50
 
-.PHONY: demo test measure promises soak lint format clean
+.PHONY: demo test measure startup promises soak lint format clean
 
 $(VENV)/.installed: requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -21,6 +21,9 @@
 measure: $(VENV)/.installed
 	$(BIN)/python -m measure
 
+startup: $(VENV)/.installed
+	PYTHONPATH=platform:platform/tests $(BIN)/python -m measure_startup
+
 promises: $(VENV)/.installed
 	$(BIN)/python -m tests.promises
 
