--- a/measure/hops.py
+++ b/measure/hops.py
@@ -2,6 +2,7 @@
 
 Reads the lines of all instances (key=value, in order of time) from files and prints,
 by priority, how long jobs took from hop to hop and how many stops they caused.
+Instances bound their logs; how many lines they dropped is printed first.
 """
 
 import re
@@ -11,9 +12,10 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-__all__ = ["JobTimes", "read_jobs", "render"]
+__all__ = ["JobTimes", "count_dropped", "read_jobs", "render"]
 
 _LINE = re.compile(r"^\s*([0-9.]+) .*?\bevent=(\S+) (.*)$")
+_DROPPED = re.compile(r"\blines_dropped_before=(\d+)")
 _FIELD = re.compile(r'(\w+)=("[^"]*"|\S*)')
 HOPS = ("accepted", "decided", "last start", "ended")
 PERCENTILES = (50, 90, 99)
@@ -58,6 +60,11 @@
     return {name: job for name, job in jobs.items() if "accepted" in job.hops}
 
 
+def count_dropped(lines: Iterable[str]) -> int:
+    """Return how many lines the instances said they had dropped."""
+    return sum(int(number) for line in lines for number in _DROPPED.findall(line))
+
+
 def render(jobs: dict[str, JobTimes]) -> str:
     """Return the tables as text."""
     lines = []
@@ -105,7 +112,9 @@
     """Print the tables for the files that are named, or for standard input."""
     names = sys.argv[1:]
     texts = [Path(name).read_text() for name in names] or [sys.stdin.read()]
-    print(render(read_jobs(line for text in texts for line in text.splitlines())))
+    lines = [line for text in texts for line in text.splitlines()]
+    print(f"{count_dropped(lines)} lines were dropped by bounded logs")
+    print(render(read_jobs(lines)))
 
 
 if __name__ == "__main__":
--- a/tests/test_measure_logs.py
+++ b/tests/test_measure_logs.py
@@ -2,7 +2,7 @@
 
 import json
 
-from measure.hops import read_jobs, render
+from measure.hops import count_dropped, read_jobs, render
 from measure.shares import read_days
 
 LINES = """
@@ -32,6 +32,13 @@
     assert "accepted to decided          1.000" in text
 
 
+def test_lines_that_were_dropped_are_counted():
+    assert (
+        count_dropped(["a lines_dropped_before=3", "b", "c lines_dropped_before=4"])
+        == 7
+    )
+
+
 def test_shares_add_up_to_all_there_was():
     day = {
         "name": "scale-1",
