Look at the tenure before a claim, not after the pause

Change: pause, look, decide.

Ruled out: harm to the tenure; the condition held, no such claim took effect.

--- a/src/larkhoist/control/tenure_keeper.py
+++ b/src/larkhoist/control/tenure_keeper.py
@@ -87,6 +87,7 @@
         return self.term > 0 and now_s - self.confirmed_s < self._times.predecessor_s
 
     async def _run(self) -> None:
+        await self._watch()
         while True:
             now_s = asyncio.get_running_loop().time()
             eligible = self._loaded and self._is_eligible()
@@ -99,8 +100,9 @@
                 case TenureStep.CLAIM:
                     await self._claim()
                 case TenureStep.WATCH:
-                    await self._watch()
+                    # The look comes last, so that no claim is tried by an old one.
                     await asyncio.sleep(self._get_watch_pause_s())
+                    await self._watch()
 
     def _get_watch_pause_s(self) -> float:
         """Return when to look at the stream again.
--- a/tests/control/test_tenure_keeper.py
+++ b/tests/control/test_tenure_keeper.py
@@ -187,7 +187,10 @@
     await keepers.wait_for(lambda: first.term)
     await keepers.add("b")
     log = keepers.log
-    reads, renewals = log.reads, len(log.streams["tenure"])
+    reads, appends, renewals = log.reads, log.appends, len(log.streams["tenure"])
     await keepers.wait_for(lambda: len(log.streams["tenure"]) >= renewals + 40)
     assert log.reads - reads <= 20
+    # Nobody tries to claim what is held: only the holder appends.
+    tried = log.appends - appends
+    assert tried <= len(log.streams["tenure"]) - renewals + 1
     assert [name for name, term in keepers.terms if term] == ["a"]
