List a fault of leaving workers as known red

Cause: a worker that leaves and goes off the list is taken as idle at once, though an end that it listed just before may not have been read: the task starts again elsewhere.

--- a/tests/fleet/test_scheduler.py
+++ b/tests/fleet/test_scheduler.py
@@ -1,5 +1,7 @@
 """Check single decisions of the scheduler of staged jobs."""
 
+import dataclasses
+
 from msgspec.structs import replace
 
 from larkhoist.codes import Code
@@ -410,3 +412,22 @@
     # The room that was kept is free again, once the stop is over.
     stopped = scheduler.state.workers[stops[0].worker]
     assert stopped.free == stopped.capacity - stopped.used
+
+
+def test_an_end_that_a_leaving_worker_listed_last_is_read_before_a_new_start():
+    # A hunted day broke this: the entry went 0.14 s after the worker had listed the
+    # end, the task was started elsewhere at once, and the end came later.
+    job = make_job(1, ONE)
+    machine = make_machine(2, (job,), work_s=20.0)
+    machine.submit(job)
+    machine.run(1)
+    scheduler = machine.owner.scheduler
+    (run,) = machine.world.history
+    listed = [
+        dataclasses.replace(entry, leaving=entry.name == run.worker)
+        for entry in machine._list_workers()
+    ]
+    scheduler.take_list(listed, machine.now_s)
+    rest = [e for e in machine._list_workers() if e.name != run.worker]
+    scheduler.take_list(rest, machine.now_s)
+    assert not scheduler.decide(machine.now_s, machine.now_ms).starts
