--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -25,6 +25,7 @@
 from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.fleet.effects import Round, StartTask
 from larkhoist.fleet.policy import FleetPolicy
+from larkhoist.fleet.proofs import PROOF_NAMES
 from larkhoist.fleet.scheduler import FleetScheduler, create_fleet_scheduler
 from larkhoist.fleet.task import TaskState
 from larkhoist.jobs.book import JobBook
@@ -41,7 +42,7 @@
 from larkhoist.ports.task_worker import TaskWorkerPort
 from larkhoist.problem import Problem
 
-__all__ = ["FleetOwner"]
+__all__ = ["OWNER_GAUGES", "CreatePort", "FleetOwner"]
 
 _logger = logging.getLogger(__name__)
 OWNER_WRITER = "owner"
@@ -57,6 +58,14 @@
 """How often outcomes that nobody may ask for any more are looked for; they are few
 enough between two looks (some 50 a second) to go in one append."""
 
+OWNER_GAUGES = (
+    "fleet_running",
+    "fleet_waiting",
+    "fleet_workers",
+    *(f"fleet_over_{name}" for name in PROOF_NAMES),
+)
+"""The gauges that only an owner has a figure for."""
+
 CreatePort = Callable[[str, str], TaskWorkerPort]
 
 
@@ -169,8 +178,13 @@
                 sum(task.state is TaskState.WAITING for task in tasks)
             ),
             "fleet_workers": float(len(self.scheduler.state.workers)),
+            **self._measure_over(),
         }
 
+    def _measure_over(self) -> dict[str, float]:
+        counts = self.scheduler.state.over_by_proof
+        return {f"fleet_over_{name}": float(counts[name]) for name in PROOF_NAMES}
+
     # Taking over.
 
     async def _run(self) -> None:
@@ -356,7 +370,7 @@
             case Code.FENCED:
                 self._give_up(f"worker {worker} knows a newer term")
             case Code.WORKER_REPLACED:
-                self.scheduler.note_gone(worker, "replaced", now_s)
+                self.scheduler.note_replaced(worker, now_s)
             case Code.WORKER_SILENT:
                 self.scheduler.note_silent(worker, now_s)
 
--- a/src/larkhoist/control/scheduler_node.py
+++ b/src/larkhoist/control/scheduler_node.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from larkhoist.control.catalog_keeper import CONFIGURATION_STREAM, CatalogKeeper
-from larkhoist.control.fleet_owner import CreatePort, FleetOwner
+from larkhoist.control.fleet_owner import OWNER_GAUGES, CreatePort, FleetOwner
 from larkhoist.control.job_desk import DeskTimes, JobDesk
 from larkhoist.control.roster_keeper import WORKER_STREAM, RosterKeeper
 from larkhoist.control.settings import FleetSettings
@@ -171,9 +171,9 @@
         """Return the gauges of the metrics page."""
         now_s = asyncio.get_running_loop().time()
         catalog = self.catalog.catalog
-        counts = {"fleet_running": 0.0, "fleet_waiting": 0.0, "fleet_workers": 0.0}
+        counts = dict.fromkeys(OWNER_GAUGES, 0.0)
         if self.owner is not None:
-            counts = self.owner.measure()
+            counts |= self.owner.measure()
         return {
             **counts,
             "fleet_term": float(self.term),
--- /dev/null
+++ b/src/larkhoist/fleet/proofs.py
@@ -0,0 +1,132 @@
+"""State what may prove that an attempt of a task does not run any more.
+
+An attempt that may run keeps its room and its place until one of these is known;
+nothing else lets the scheduler start the task again.
+"""
+
+from dataclasses import dataclass
+
+from larkhoist.codes import Code
+from larkhoist.ports.task_worker import EndKind
+
+__all__ = [
+    "PROOF_NAMES",
+    "AbsentFromReport",
+    "EndListed",
+    "LeaseOver",
+    "NeverSent",
+    "Proof",
+    "StartRefused",
+    "WorkerReplaced",
+    "WorkerUnlisted",
+    "describe_proof",
+    "name_proof",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class EndListed:
+    """The worker listed how the attempt ended."""
+
+    kind: EndKind
+
+
+@dataclass(frozen=True, slots=True)
+class StartRefused:
+    """The worker refused the only try of the start, and has done nothing."""
+
+    code: Code
+
+
+@dataclass(frozen=True, slots=True)
+class NeverSent:
+    """The start was dropped before it was sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class AbsentFromReport:
+    """A report doesn't name the attempt.
+
+    It was asked for at ``asked_s``, after ``settled_s``, from when on no order could
+    begin the attempt any more; both are steady seconds.
+    """
+
+    asked_s: float
+    settled_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseOver:
+    """The last lease that the worker may have is over since ``lease_end_s``."""
+
+    lease_end_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerReplaced:
+    """Another incarnation answered at the worker's address."""
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerUnlisted:
+    """The worker had said that it leaves, and its entry went off the list."""
+
+
+Proof = (
+    EndListed
+    | StartRefused
+    | NeverSent
+    | AbsentFromReport
+    | LeaseOver
+    | WorkerReplaced
+    | WorkerUnlisted
+)
+
+
+PROOF_NAMES = (
+    "end_listed",
+    "start_refused",
+    "never_sent",
+    "absent_from_report",
+    "lease_over",
+    "worker_replaced",
+    "worker_unlisted",
+)
+"""The names of all proofs, for metrics."""
+
+
+def name_proof(proof: Proof) -> str:
+    """Return the proof's name for logs and metrics."""
+    match proof:
+        case EndListed():
+            return "end_listed"
+        case StartRefused():
+            return "start_refused"
+        case NeverSent():
+            return "never_sent"
+        case AbsentFromReport():
+            return "absent_from_report"
+        case LeaseOver():
+            return "lease_over"
+        case WorkerReplaced():
+            return "worker_replaced"
+        case WorkerUnlisted():
+            return "worker_unlisted"
+
+
+def describe_proof(proof: Proof, now_s: float) -> dict[str, object]:
+    """Return the inputs of the proof and their age in seconds, for the log."""
+    match proof:
+        case EndListed(kind):
+            return {"how": kind.value}
+        case StartRefused(code):
+            return {"reason": code.name}
+        case AbsentFromReport(asked_s, settled_s):
+            return {
+                "report_age_s": round(now_s - asked_s, 3),
+                "settled_age_s": round(now_s - settled_s, 3),
+            }
+        case LeaseOver(lease_end_s):
+            return {"over_for_s": round(now_s - lease_end_s, 3)}
+        case _:
+            return {}
--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -2,6 +2,13 @@
 
 from larkhoist.codes import Code
 from larkhoist.fleet.effects import StopTask
+from larkhoist.fleet.proofs import (
+    AbsentFromReport,
+    EndListed,
+    Proof,
+    StartRefused,
+    name_proof,
+)
 from larkhoist.fleet.state import FleetState
 from larkhoist.fleet.task import Phase, Task, TaskState
 from larkhoist.fleet.worker import FleetWorker
@@ -36,8 +43,8 @@
     for phase, task in state.list_tasks_on(worker):
         absent = (task.name, task.attempt) not in present
         if absent and task.is_on_worker and task.settled_s < asked_s:
-            state.note("task-absent", task=task.name, worker=worker.name)
-            state.release(phase, task, now_s)
+            proof = AbsentFromReport(asked_s, task.settled_s)
+            state.release(phase, task, proof, now_s)
 
 
 def take_start_answer(
@@ -70,11 +77,10 @@
             state.note("start-unsettled", task=name, worker=task.worker, reason=code)
             state.stop(phase, task, now_s)
         case _:
-            state.note("start-refused", task=name, worker=task.worker, reason=code.name)
             if code is Code.WORKER_FULL:
                 worker = state.workers[task.worker]
                 worker.full_until_s = now_s + state.policy.full_pause_s
-            state.release(phase, task, now_s)
+            state.release(phase, task, StartRefused(code), now_s)
 
 
 def take_stop_answer(state: FleetState, name: str, attempt: int, now_s: float) -> None:
@@ -85,13 +91,19 @@
 
 
 def take_worker_gone(
-    state: FleetState, worker: FleetWorker, reason: str, now_s: float
+    state: FleetState, worker: FleetWorker, proof: Proof, now_s: float
 ) -> None:
-    """Note that nothing runs on a worker any more."""
+    """Note that nothing runs on a worker any more, as ``proof`` tells."""
     tasks = state.list_tasks_on(worker)
-    state.note("worker-idle", worker=worker.name, reason=reason, tasks=len(tasks))
+    state.note(
+        "worker-idle",
+        worker=worker.name,
+        reason=name_proof(proof),
+        tasks=len(tasks),
+        heard_age_s=round(now_s - worker.heard_s, 3),
+    )
     for phase, task in tasks:
-        state.release(phase, task, now_s)
+        state.release(phase, task, proof, now_s)
 
 
 def _take_end(
@@ -118,7 +130,7 @@
             _take_failed(state, worker, phase, task, ended, now_s, now_ms)
         case _:
             _keep_checkpoint(phase, task, ended.checkpoint)
-            state.release(phase, task, now_s)
+            state.release(phase, task, EndListed(ended.kind), now_s)
 
 
 def _take_done(state, worker, phase: Phase, task: Task, now_s: float) -> None:
@@ -130,7 +142,7 @@
         state.speeds.note(worker.rack, took_s, expected_s)
         state.runtimes.note(queue, took_s)
     if phase.spec.long_running:
-        state.release(phase, task, now_s)
+        state.release(phase, task, EndListed(EndKind.DONE), now_s)
         return
     # One such end stands for the whole gang.
     for member in phase.tasks if phase.spec.gang else [task]:
@@ -151,7 +163,7 @@
     if state.quarantine.note_failure(worker.name, phase.id.job_id, listed, now_s):
         state.note("worker-quarantined", worker=worker.name)
     _keep_checkpoint(phase, task, ended.checkpoint)
-    state.release(phase, task, now_s)
+    state.release(phase, task, EndListed(ended.kind), now_s)
     if phase.spec.long_running or task.failures < job.job.terms.max_attempts:
         return
     state.end_job(job, Code.JOB_FAILED, now_s, now_ms)
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -11,6 +11,12 @@
 from larkhoist.fleet.guarantees import mark_firm
 from larkhoist.fleet.placement import place_waiting
 from larkhoist.fleet.policy import FleetPolicy
+from larkhoist.fleet.proofs import (
+    LeaseOver,
+    NeverSent,
+    WorkerReplaced,
+    WorkerUnlisted,
+)
 from larkhoist.fleet.reports import (
     take_report,
     take_start_answer,
@@ -150,14 +156,14 @@
         """Note that a start order was dropped before it was sent."""
         found = self.state.find_task(task, attempt)
         if found is not None:
-            self.state.release(*found, now_s)
+            self.state.release(*found, NeverSent(), now_s)
 
-    def note_gone(self, worker: str, reason: str, now_s: float) -> None:
-        """Note that an incarnation of a worker has ended with all its tasks."""
+    def note_replaced(self, worker: str, now_s: float) -> None:
+        """Note that another incarnation answers at a worker's address."""
         found = self.state.workers.get(worker)
         if found is not None:
             found.listed = False
-            take_worker_gone(self.state, found, reason, now_s)
+            take_worker_gone(self.state, found, WorkerReplaced(), now_s)
 
     def is_wanted(self, task: str, attempt: int) -> bool:
         """Tell whether a start that was decided earlier is still wanted."""
@@ -196,8 +202,10 @@
     def _check_leases(self, now_s: float) -> None:
         for worker in list(self.state.workers.values()):
             if worker.tasks and now_s > worker.lease_end_s:
-                take_worker_gone(self.state, worker, "lease lapsed", now_s)
+                proof = LeaseOver(worker.lease_end_s)
+                take_worker_gone(self.state, worker, proof, now_s)
             if not worker.tasks and not worker.listed:
+                self.state.note("worker-forgotten", worker=worker.name)
                 del self.state.workers[worker.name]
 
     def _send_stops_again(self, now_s: float) -> None:
@@ -267,7 +275,7 @@
         worker.listed = False
         self.state.changed = True
         if worker.leaving:
-            take_worker_gone(self.state, worker, "left", now_s)
+            take_worker_gone(self.state, worker, WorkerUnlisted(), now_s)
 
     def _add_unlisted(self, name: str) -> None:
         # The log names a worker that is not listed: only time tells that its
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -4,6 +4,7 @@
 keep. Decisions and reports use these steps alone.
 """
 
+from collections import Counter
 from collections.abc import Iterator
 
 from larkhoist.codes import Code
@@ -11,6 +12,7 @@
 from larkhoist.fleet.effects import EndedJob, Note, Round, StartTask, StopTask
 from larkhoist.fleet.headroom import UrgentDemand
 from larkhoist.fleet.policy import FleetPolicy
+from larkhoist.fleet.proofs import EndListed, Proof, describe_proof, name_proof
 from larkhoist.fleet.runtimes import QueueRuntimes
 from larkhoist.fleet.speeds import RackSpeeds
 from larkhoist.fleet.task import ActiveJob, Phase, Task, TaskState, create_phase
@@ -36,6 +38,7 @@
         self.urgent_demand = UrgentDemand()
         self.round = Round()
         self.changed = True
+        self.over_by_proof: Counter[str] = Counter()
         self._tasks: dict[str, tuple[Phase, Task]] = {}
         self._dirty: dict[int, Phase] = {}
 
@@ -153,7 +156,7 @@
             step=phase.id.step,
             attempt=chosen[0].attempt,
             tasks=len(chosen),
-            workers=",".join(sorted(set(places.values()))),
+            places=_format_places(chosen),
             waited_s=round(now_s - phase.waiting_since_s, 3),
             firm=active.firm,
         )
@@ -177,10 +180,11 @@
         task.checkpoint = ""
         self.touch(phase)
 
-    def release(self, phase: Phase, task: Task, now_s: float) -> None:
-        """Note that a task's attempt surely does not run any more."""
+    def release(self, phase: Phase, task: Task, proof: Proof, now_s: float) -> None:
+        """Note that a task's attempt does not run any more, as ``proof`` tells."""
         if not task.is_on_worker:
             return
+        self._note_over(task, proof, now_s)
         self._vacate(phase, task)
         task.state = TaskState.WAITING
         phase.waiting_since_s = now_s
@@ -221,6 +225,22 @@
 
     # Details.
 
+    def _note_over(self, task: Task, proof: Proof, now_s: float) -> None:
+        """Have it logged by what an attempt is over; its listed end has a line."""
+        name = name_proof(proof)
+        self.over_by_proof[name] += 1
+        if isinstance(proof, EndListed):
+            return
+        self.note(
+            "attempt-over",
+            task=task.name,
+            attempt=task.attempt,
+            worker=task.worker,
+            state=task.state.value,
+            proof=name,
+            **describe_proof(proof, now_s),
+        )
+
     def _index_phase(self, phase: Phase, now_s: float) -> None:
         for task in phase.tasks:
             self._tasks[task.name] = (phase, task)
@@ -253,3 +273,8 @@
             self.stop(phase, task, now_s)
         if phase.is_off_workers:
             phase.closing = False
+
+
+def _format_places(tasks: list[Task]) -> str:
+    """Return INDEX.ATTEMPT@WORKER of every task."""
+    return ",".join(f"{task.index}.{task.attempt}@{task.worker}" for task in tasks)
