Free a task only by its worker's word or the end of a lease

Cause: an attempt was taken as over because its worker, having said that it leaves, was off the list. Entries go while workers run on: with the store, with the worker's path to it, or before the process. Of the same class: the bound on leases counted on a clock estimate that ran ahead of slow clocks by 2 % of a rest, and on the loop's cached time, which a pause of the process makes old. Change: going off the list frees nothing; the worker is asked on, its ends count, and its lease decides. A worker that leaves, or is off the list for 2.5 s, gets leases of 2 s in place of 6 to 10, so that its tasks go on elsewhere soon. The bound is derived: a lease ends at a time on the worker's clock that was at most its length ahead when the call was made. A worker that refuses a start gets no other for 0.5 s, doubling up to 4 s.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -21,6 +21,7 @@
     StopAnswer,
     WorkerSession,
 )
+from larkhoist.daemon.clock import read_steady_s
 from larkhoist.daemon.logs import log_event
 from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.fleet.effects import Round, StartTask
@@ -320,7 +321,7 @@
                     self._times,
                     heard.entry.clock_ms,
                     heard.heard_s,
-                    self._note_lease,
+                    self._grant_lease,
                     self._tell,
                 )
                 self._sessions[name] = session
@@ -334,13 +335,10 @@
             else:
                 self._spawn(self._sessions.pop(name).close())
 
-    def _note_lease(self, worker: str, now_s: float) -> bool:
+    def _grant_lease(self, worker: str, now_s: float) -> float | None:
         if not self._may_renew_leases(now_s):
-            return False
-        if worker not in self.scheduler.state.workers:
-            return False
-        self.scheduler.note_lease_sent(worker, now_s)
-        return True
+            return None
+        return self.scheduler.grant_lease(worker, now_s)
 
     def _tell(self, message: Message) -> None:
         self._inbox.append(message)
@@ -426,4 +424,4 @@
 
 
 def _get_times() -> tuple[float, int]:
-    return asyncio.get_running_loop().time(), int(time.time() * 1000)
+    return read_steady_s(), int(time.time() * 1000)
--- a/src/larkhoist/control/roster_keeper.py
+++ b/src/larkhoist/control/roster_keeper.py
@@ -1,8 +1,8 @@
 """Keep the platform's list of workers, as far as it was read."""
 
-import asyncio
 from collections.abc import Callable, Iterable
 
+from larkhoist.daemon.clock import read_steady_s
 from larkhoist.ports.fleet import ListedTaskWorker
 from larkhoist.ports.keyed_log import StoredRecord
 
@@ -43,7 +43,7 @@
         if entry is None:
             self.workers.pop(record.key, None)
             return
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_steady_s()
         self.workers[entry.name] = HeardWorker(entry, now_s)
 
     def list_entries(self) -> list[ListedTaskWorker]:
--- a/src/larkhoist/control/scheduler_node.py
+++ b/src/larkhoist/control/scheduler_node.py
@@ -221,7 +221,7 @@
             roster_follower,
             self.catalog,
             policy,
-            SessionTimes(lease_s=self._settings.lease_s),
+            SessionTimes(clock_drift=policy.clock_drift),
             self._create_port,
             self._tenure.may_renew_leases,
             self._tenure.give_up,
--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from larkhoist.codes import Code
+from larkhoist.daemon.clock import read_steady_s
 from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.fleet.effects import StartTask, StopTask
 from larkhoist.ports.task_worker import (
@@ -19,6 +20,7 @@
 from larkhoist.problem import Problem
 
 __all__ = [
+    "GrantLease",
     "Message",
     "ReportAnswer",
     "SessionTimes",
@@ -62,6 +64,7 @@
     code: Code | None
 
 
+GrantLease = Callable[[str, float], float | None]
 Message = ReportAnswer | StartAnswer | StopAnswer
 
 
@@ -70,10 +73,12 @@
     """Hold times of a session in seconds.
 
     ``wait_share`` is how much of a lease may pass between two renewals: a short
-    share lets leases outlast short cuts.
+    share lets leases outlast short cuts. ``idle_wait_s`` is how long a call without a
+    lease waits, ``clock_drift`` how much slower a worker's clock may run.
     """
 
-    lease_s: float = 10.0
+    idle_wait_s: float = 0.6
+    clock_drift: float = 0.02
     longest_wait_s: float = 1.0
     wait_share: float = 0.1
     silent_pause_s: float = 0.4
@@ -81,17 +86,21 @@
     start_tries: int = 2
     start_pause_s: float = 0.1
 
-    @property
-    def wait_ms(self) -> int:
-        """Return how long one renewal waits for an end, in milliseconds."""
-        return int(1000 * min(self.longest_wait_s, self.lease_s * self.wait_share))
+    def get_wait_ms(self, lease_s: float | None) -> int:
+        """Return how long a call with such a lease waits for an end, in ms."""
+        if lease_s is None:
+            return int(1000 * self.idle_wait_s)
+        return int(1000 * min(self.longest_wait_s, lease_s * self.wait_share))
 
 
 class WorkerSession:
     """Own the calls to one worker and tell the owner what comes of them.
 
-    ``clock_ms`` is the worker's clock as heard at ``clock_s``; the estimate is
-    behind the true clock, never ahead, so that leases are rather too short.
+    ``clock_ms`` is the worker's clock as heard at ``clock_s`` or before. The estimate
+    counts on from there as slowly as the clock may run, so that it is never ahead:
+    a lease that ends by it is over when the owner takes it as over, also when a call
+    is carried out late and the worker's own bound on leases does not shorten it.
+    ``grant_lease`` says how long a lease a call may bring, None where it may not.
     """
 
     def __init__(
@@ -102,7 +111,7 @@
         times: SessionTimes,
         clock_ms: int,
         clock_s: float,
-        may_renew: Callable[[str, float], bool],
+        grant_lease: GrantLease,
         tell: Callable[[Message], None],
     ):
         self._name = name
@@ -111,7 +120,7 @@
         self._times = times
         self._clock_ms = clock_ms
         self._clock_s = clock_s
-        self._may_renew = may_renew
+        self._grant_lease = grant_lease
         self._tell = tell
         self._busy = True
         self._silent = False
@@ -166,11 +175,11 @@
                 self._wake.clear()
 
     async def _ask(self) -> None:
-        now_s = asyncio.get_running_loop().time()
-        lease_until_ms = None
-        if not self._silent and self._may_renew(self._name, now_s):
-            lease_until_ms = self._get_lease_until_ms(now_s)
-        wait_ms = self._times.wait_ms if self._busy and not self._silent else 0
+        now_s = read_steady_s()
+        lease_s = None if self._silent else self._grant_lease(self._name, now_s)
+        lease_until_ms = self._get_lease_until_ms(now_s, lease_s)
+        waits = self._busy and not self._silent
+        wait_ms = self._times.get_wait_ms(lease_s) if waits else 0
         acknowledged = self._to_acknowledge
         call = LeaseCall(self._token, acknowledged, lease_until_ms, wait_ms)
         result = await self._port.renew(call)
@@ -189,7 +198,7 @@
                 await asyncio.sleep(self._times.silent_pause_s)
 
     async def _probe(self) -> None:
-        now_s = asyncio.get_running_loop().time()
+        now_s = read_steady_s()
         call = LeaseCall(self._token, self._to_acknowledge)
         self._tell(ReportAnswer(self._name, now_s, await self._port.renew(call)))
 
@@ -207,16 +216,17 @@
         code: Code | None = Code.ORDER_REFUSED
         may_act = False
         for _ in range(self._times.start_tries):
-            now_s = asyncio.get_running_loop().time()
+            now_s = read_steady_s()
             # A start brings a lease for all that runs there, as a renewal does.
-            if not self._may_renew(self._name, now_s):
+            lease_s = self._grant_lease(self._name, now_s)
+            if lease_s is None:
                 break
             result = await self._port.start_task(
                 StartOrder(
                     order.task,
                     order.attempt,
                     order.payload,
-                    self._get_lease_until_ms(now_s),
+                    self._get_lease_until_ms(now_s, lease_s),
                     self._token,
                     order.checkpoint,
                 )
@@ -246,13 +256,15 @@
                 code = problem.code
         self._tell(StopAnswer(self._name, order.task, order.attempt, code))
 
-    def _get_lease_until_ms(self, now_s: float) -> int:
-        passed_ms = max(0.0, now_s - self._clock_s) * 1000
-        return int(self._clock_ms + passed_ms + self._times.lease_s * 1000)
+    def _get_lease_until_ms(self, now_s: float, lease_s: float | None) -> int | None:
+        if lease_s is None:
+            return None
+        passed_s = max(0.0, now_s - self._clock_s) * (1 - self._times.clock_drift)
+        return int(self._clock_ms + 1000 * (passed_s + lease_s))
 
     def _take_clock(self, clock_ms: int) -> None:
         self._clock_ms = clock_ms
-        self._clock_s = asyncio.get_running_loop().time()
+        self._clock_s = read_steady_s()
 
     def _spawn(self, job) -> None:
         task = asyncio.create_task(job)
--- a/src/larkhoist/fleet/policy.py
+++ b/src/larkhoist/fleet/policy.py
@@ -13,6 +13,15 @@
     its clock may run, ``predecessor_s`` how long an owner that lost touch with the
     log goes on renewing leases, ``stop_s`` how long a worker may take to stop.
 
+    ``departing_lease_s`` is the lease of a worker that leaves, or has been off the
+    list for ``unlisted_patience_s``: an entry that lapsed with the list's keeper is
+    back within two seconds. Nothing but the end of its lease tells that such a
+    worker has ended, so that a short one lets its tasks go on elsewhere sooner; it
+    outlasts one call without an answer (1.3 s until the next).
+
+    A worker that refuses a start gets no other for ``refused_pause_s``, twice as
+    long with each refusal in a row, at most ``longest_refused_pause_s``.
+
     Urgent work beyond a guarantee may throw away ``timely_work_ratio`` times its
     own work where it is still in time after the stops, else ``late_work_ratio``: by
     the users' prices it earns some 3.6 times what redoing as much work costs, and a
@@ -27,9 +36,13 @@
     clock_drift: float = 0.02
     predecessor_s: float = 8.0
     lease_slack_s: float = 0.3
+    departing_lease_s: float = 2.0
+    unlisted_patience_s: float = 2.5
     resend_stop_s: float = 0.7
     gang_patience_s: float = 2.0
     full_pause_s: float = 0.5
+    refused_pause_s: float = 0.5
+    longest_refused_pause_s: float = 4.0
     stop_s: float = 0.9
     timely_work_ratio: float = 3.0
     late_work_ratio: float = 0.5
@@ -39,5 +52,13 @@
 
     @property
     def lapse_s(self) -> float:
-        """Return after how long a lease that is not renewed is surely over."""
-        return self.lease_s * (1 + self.clock_drift) + self.lease_slack_s
+        """Return after how long the longest lease is surely over."""
+        return self.get_lapse_s(self.lease_s)
+
+    def get_lapse_s(self, lease_s: float) -> float:
+        """Return after how long a lease that is not renewed is surely over.
+
+        It ends at a time on the worker's clock that was at most ``lease_s`` ahead
+        when the call was made, however late the call is carried out.
+        """
+        return lease_s / (1 - self.clock_drift) + self.lease_slack_s
--- a/src/larkhoist/fleet/proofs.py
+++ b/src/larkhoist/fleet/proofs.py
@@ -18,7 +18,6 @@
     "Proof",
     "StartRefused",
     "WorkerReplaced",
-    "WorkerUnlisted",
     "describe_proof",
     "name_proof",
 ]
@@ -67,19 +66,8 @@
     """Another incarnation answered at the worker's address."""
 
 
-@dataclass(frozen=True, slots=True)
-class WorkerUnlisted:
-    """The worker had said that it leaves, and its entry went off the list."""
-
-
 Proof = (
-    EndListed
-    | StartRefused
-    | NeverSent
-    | AbsentFromReport
-    | LeaseOver
-    | WorkerReplaced
-    | WorkerUnlisted
+    EndListed | StartRefused | NeverSent | AbsentFromReport | LeaseOver | WorkerReplaced
 )
 
 
@@ -90,7 +78,6 @@
     "absent_from_report",
     "lease_over",
     "worker_replaced",
-    "worker_unlisted",
 )
 """The names of all proofs, for metrics."""
 
@@ -110,8 +97,6 @@
             return "lease_over"
         case WorkerReplaced():
             return "worker_replaced"
-        case WorkerUnlisted():
-            return "worker_unlisted"
 
 
 def describe_proof(proof: Proof, now_s: float) -> dict[str, object]:
--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -65,6 +65,7 @@
     phase, task = found
     match code:
         case None:
+            state.workers[task.worker].refusals = 0
             task.settled_s = min(task.settled_s, now_s)
             if task.state is TaskState.STARTING:
                 task.state = TaskState.RUNNING
@@ -77,12 +78,28 @@
             state.note("start-unsettled", task=name, worker=task.worker, reason=code)
             state.stop(phase, task, now_s)
         case _:
-            if code is Code.WORKER_FULL:
-                worker = state.workers[task.worker]
-                worker.full_until_s = now_s + state.policy.full_pause_s
+            _pause_worker(state, state.workers[task.worker], code, now_s)
             state.release(phase, task, StartRefused(code), now_s)
 
 
+def _pause_worker(
+    state: FleetState, worker: FleetWorker, code: Code, now_s: float
+) -> None:
+    """Give a worker that refused a start no other one for a while."""
+    policy = state.policy
+    match code:
+        case Code.ATTEMPT_TOO_OLD:
+            # The next attempt has a higher number.
+            return
+        case Code.WORKER_FULL:
+            pause_s = policy.full_pause_s
+        case _:
+            pause_s = policy.refused_pause_s * 2**worker.refusals
+            pause_s = min(pause_s, policy.longest_refused_pause_s)
+            worker.refusals += 1
+    worker.paused_until_s = now_s + pause_s
+
+
 def take_stop_answer(state: FleetState, name: str, attempt: int, now_s: float) -> None:
     """Take the answer to a stop order: the attempt can't begin any more."""
     found = state.find_task(name, attempt)
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -15,7 +15,6 @@
     LeaseOver,
     NeverSent,
     WorkerReplaced,
-    WorkerUnlisted,
 )
 from larkhoist.fleet.reports import (
     take_report,
@@ -102,9 +101,20 @@
         if active is not None:
             self.state.end_job(active, Code.JOB_CANCELLED, now_s, now_ms)
 
-    def note_lease_sent(self, worker: str, now_s: float) -> None:
-        """Note that a renewal or a start is about to be sent."""
-        self.state.extend_lease(self.state.workers[worker], now_s)
+    def grant_lease(self, worker: str, now_s: float) -> float | None:
+        """Return how long a lease a call to a worker brings that is sent now.
+
+        None means that the call must bring none: no task may run there.
+        """
+        found = self.state.workers.get(worker)
+        if found is None or not found.tasks:
+            return None
+        policy = self.state.policy
+        lease_s = policy.lease_s
+        if found.is_departing(now_s, policy.unlisted_patience_s):
+            lease_s = min(lease_s, policy.departing_lease_s)
+        self.state.extend_lease(found, now_s, lease_s)
+        return lease_s
 
     def note_silent(self, worker: str, asked_s: float) -> None:
         """Note that a call to a worker at ``asked_s`` got no answer."""
@@ -258,6 +268,7 @@
             self._clear_leaving(worker, now_s)
         if not worker.listed:
             worker.listed = True
+            worker.unlisted_s = None
             self.state.note("worker-listed-again", worker=worker.name)
         self.state.changed = True
 
@@ -271,11 +282,19 @@
                 self.state.stop(phase, task, now_s)
 
     def _unlist(self, worker: FleetWorker, now_s: float) -> None:
-        self.state.note("worker-unlisted", worker=worker.name, leaving=worker.leaving)
+        # That an entry is gone proves nothing: entries lapse while workers run on,
+        # and a task that was started elsewhere at once ran twice. Only the worker's
+        # own report or the end of its lease frees its tasks.
+        self.state.note(
+            "worker-unlisted",
+            worker=worker.name,
+            leaving=worker.leaving,
+            tasks=len(worker.tasks),
+            lease_left_s=round(worker.lease_end_s - now_s, 3),
+        )
         worker.listed = False
+        worker.unlisted_s = now_s
         self.state.changed = True
-        if worker.leaving:
-            take_worker_gone(self.state, worker, WorkerUnlisted(), now_s)
 
     def _add_unlisted(self, name: str) -> None:
         # The log names a worker that is not listed: only time tells that its
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -135,7 +135,7 @@
             task.saved_s = now_s
             task.settled_s = float("inf")
             self._occupy(phase, task, places[task.index])
-            self.extend_lease(self.workers[task.worker], now_s)
+            self.extend_lease(self.workers[task.worker], now_s, self.policy.lease_s)
             self.round.starts.append(
                 StartTask(
                     task.worker,
@@ -256,9 +256,10 @@
         worker.tasks.add(task.name)
         worker.use(phase.need)
 
-    def extend_lease(self, worker: FleetWorker, now_s: float) -> None:
+    def extend_lease(self, worker: FleetWorker, now_s: float, lease_s: float) -> None:
         """Note that a call with a lease is about to be sent, or was decided on."""
-        worker.lease_end_s = max(worker.lease_end_s, now_s + self.policy.lapse_s)
+        lapse_s = self.policy.get_lapse_s(lease_s)
+        worker.lease_end_s = max(worker.lease_end_s, now_s + lapse_s)
 
     def _vacate(self, phase: Phase, task: Task) -> None:
         worker = self.workers.get(task.worker)
--- a/src/larkhoist/fleet/worker.py
+++ b/src/larkhoist/fleet/worker.py
@@ -14,7 +14,8 @@
     ``free`` is what neither runs nor is held for tasks that wait until others have
     stopped; held room makes it negative while the others still run. After
     ``lease_end_s`` nothing runs there unless a lease was renewed. ``heard_s`` is when
-    this owner made the last call that was answered.
+    this owner made the last call that was answered. ``unlisted_s`` is since when its
+    entry is off the list, ``refusals`` how many starts it has refused in a row.
     """
 
     name: str
@@ -29,7 +30,9 @@
     leaves_s: float | None = None
     silent: bool = False
     heard_s: float = float("-inf")
-    full_until_s: float = float("-inf")
+    unlisted_s: float | None = None
+    paused_until_s: float = float("-inf")
+    refusals: int = 0
     used: Resources = field(default_factory=Resources)
     tasks: set[str] = field(default_factory=set)
     seen: int = 0
@@ -57,6 +60,12 @@
         """Give back room that was kept."""
         self.free += need
 
+    def is_departing(self, now_s: float, patience_s: float) -> bool:
+        """Tell whether the worker leaves or has been off the list for some time."""
+        if self.leaving:
+            return True
+        return self.unlisted_s is not None and now_s > self.unlisted_s + patience_s
+
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new tasks may go there; what never answered gets none."""
         return (
@@ -64,7 +73,7 @@
             and not self.leaving
             and not self.silent
             and self.heard_s > float("-inf")
-            and now_s >= self.full_until_s
+            and now_s >= self.paused_until_s
         )
 
 
--- a/tests/control/test_worker_session.py
+++ b/tests/control/test_worker_session.py
@@ -44,7 +44,7 @@
 async def test_a_refusal_after_a_lost_answer_proves_nothing(codes, code, may_act):
     told = []
     session = WorkerSession(
-        "w0", ScriptedWorker(*codes), 1, QUICK, 0, 0.0, lambda *_: True, told.append
+        "w0", ScriptedWorker(*codes), 1, QUICK, 0, 0.0, lambda *_: 6.0, told.append
     )
     session.order_start(ORDER)
     async with asyncio.timeout(10):
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -164,8 +164,8 @@
     def _ask_worker(self, owner: _Owner, worker: SimWorker) -> None:
         lease_until_ms = None
         if worker.name not in owner.silent:
-            lease_until_ms = self._get_lease_until_ms(worker)
-            owner.scheduler.note_lease_sent(worker.name, self.now_s)
+            lease_s = owner.scheduler.grant_lease(worker.name, self.now_s)
+            lease_until_ms = self._get_lease_until_ms(worker, lease_s)
         acknowledged = owner.acknowledged.get(worker.name, 0)
         call = LeaseCall(owner.term, acknowledged, lease_until_ms)
         answer = self._call(worker, call)
@@ -197,12 +197,12 @@
 
     def _send_start(self, owner: _Owner, start: StartTask) -> None:
         worker = self.world.workers[start.worker]
-        owner.scheduler.note_lease_sent(worker.name, self.now_s)
+        lease_s = owner.scheduler.grant_lease(worker.name, self.now_s)
         order = StartOrder(
             start.task,
             start.attempt,
             start.payload,
-            self._get_lease_until_ms(worker),
+            self._get_lease_until_ms(worker, lease_s),
             owner.term,
             start.checkpoint,
         )
@@ -252,8 +252,12 @@
             if not worker.dead:
                 self._carry_out(worker, late.order)
 
-    def _get_lease_until_ms(self, worker: SimWorker) -> int:
-        return worker.get_clock_ms(self.now_s) + int(LEASE_S * 1000)
+    def _get_lease_until_ms(
+        self, worker: SimWorker, lease_s: float | None
+    ) -> int | None:
+        if lease_s is None:
+            return None
+        return worker.get_clock_ms(self.now_s) + int(lease_s * 1000)
 
     def _list_workers(self):
         return [
