Ask for a worker's clock before a start after a rest; bound log lines by event

Cause: an estimate that is surely not ahead falls behind by 2 % of a rest, so that a start to a worker that was idle for 300 s would bring a lease that is over. Change: a session whose last answer is 30 s old asks for a report before it sends a start; of one event at most 200 lines a second are written, of all 400.

--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -74,11 +74,13 @@
 
     ``wait_share`` is how much of a lease may pass between two renewals: a short
     share lets leases outlast short cuts. ``idle_wait_s`` is how long a call without a
-    lease waits, ``clock_drift`` how much slower a worker's clock may run.
+    lease waits, ``clock_drift`` how much slower a worker's clock may run. Before a
+    start a clock that was last heard of ``clock_age_s`` ago is asked for anew.
     """
 
     idle_wait_s: float = 0.6
     clock_drift: float = 0.02
+    clock_age_s: float = 30.0
     longest_wait_s: float = 1.0
     wait_share: float = 0.1
     silent_pause_s: float = 0.4
@@ -200,7 +202,11 @@
     async def _probe(self) -> None:
         now_s = read_steady_s()
         call = LeaseCall(self._token, self._to_acknowledge)
-        self._tell(ReportAnswer(self._name, now_s, await self._port.renew(call)))
+        result = await self._port.renew(call)
+        match result:
+            case Success(report):
+                self._take_clock(report.clock_ms)
+        self._tell(ReportAnswer(self._name, now_s, result))
 
     async def _wait_for_log(self, report: WorkerReport) -> None:
         newest = max((ended.number for ended in report.ended), default=0)
@@ -213,6 +219,9 @@
                 return
 
     async def _start(self, order: StartTask) -> None:
+        if read_steady_s() > self._clock_s + self._times.clock_age_s:
+            # By an old estimate the lease is short, after 300 s over at once.
+            await self._probe()
         code: Code | None = Code.ORDER_REFUSED
         may_act = False
         for _ in range(self._times.start_tries):
--- a/src/larkhoist/daemon/logs.py
+++ b/src/larkhoist/daemon/logs.py
@@ -5,6 +5,7 @@
 import queue
 import sys
 import time
+from collections import Counter
 from logging.handlers import QueueHandler, QueueListener
 
 from pythonjsonlogger.json import JsonFormatter
@@ -15,6 +16,9 @@
 """How many lines may wait for a reader that is slow; some 400 KB."""
 MAX_LINES_PER_S = 400
 """How many lines a process writes in one second; more are counted instead."""
+MAX_LINES_OF_EVENT_PER_S = 200
+"""How many of them are of one event, so that no storm of one line hides the others: a
+worker that refused starts once hid by which evidence tasks had been freed."""
 
 
 class KeyValueFormatter(logging.Formatter):
@@ -52,8 +56,29 @@
         super().__init__(lines)
         self._second = 0
         self._written = 0
+        self._written_of: Counter[str] = Counter()
         self._dropped = 0
 
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue a line unless a bound of this second is reached."""
+        if self._take_place(record.getMessage()):
+            super().emit(record)
+        else:
+            self._dropped += 1
+
+    def _take_place(self, event: str) -> bool:
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second, self._written = second, 0
+            self._written_of.clear()
+        if self._written >= MAX_LINES_PER_S:
+            return False
+        if self._written_of[event] >= MAX_LINES_OF_EVENT_PER_S:
+            return False
+        self._written += 1
+        self._written_of[event] += 1
+        return True
+
     def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
         """Format here, so that later changes to the fields do not show."""
         record.msg = self.format(record)
@@ -63,12 +88,6 @@
 
     def enqueue(self, record: logging.LogRecord) -> None:
         """Queue a line, or count it as dropped."""
-        second = int(time.monotonic())
-        if second != self._second:
-            self._second, self._written = second, 0
-        if self._written >= MAX_LINES_PER_S:
-            self._dropped += 1
-            return
         if self._dropped:
             record.msg += f" lines_dropped_before={self._dropped}"
         try:
@@ -76,7 +95,6 @@
         except queue.Full:
             self._dropped += 1
             return
-        self._written += 1
         self._dropped = 0
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -43,3 +43,14 @@
     texts = [lines.get().getMessage() for _ in range(3)]
     assert "number=4" in texts[-1]
     assert "lines_dropped_before=2" in texts[-1]
+
+
+def test_a_storm_of_one_event_leaves_room_for_others(logger, lines, monkeypatch):
+    monkeypatch.setattr(logs, "MAX_LINES_OF_EVENT_PER_S", 2)
+    monkeypatch.setattr(logs.time, "monotonic", lambda: 100.0)
+    for number in range(4):
+        logs.log_event(logger, "refused", number=number)
+    logs.log_event(logger, "worker-unlisted")
+    texts = [lines.get().getMessage() for _ in range(3)]
+    assert "event=worker-unlisted" in texts[-1]
+    assert "lines_dropped_before=2" in texts[-1]
