--- a/tests/fleet/cases.py
+++ b/tests/fleet/cases.py
@@ -3,7 +3,7 @@
 from larkhoist.jobs.spec import JobTerms, StagedJob, StepSpec
 from larkhoist.ports.fleet import Resources
 from tests.fleet.machine import START_MS, FleetMachine
-from tests.fleet.sim_worker import SimWorker, SimWorld
+from tests.fleet.sim_worker import LEASE_S, SimWorker, SimWorld
 
 __all__ = ["make_job", "make_machine", "make_workers"]
 
@@ -42,6 +42,7 @@
     seed: int = 0,
     work_s: float = 1.0,
     fails=lambda task, worker: False,
+    lease_s: float = LEASE_S,
 ) -> FleetMachine:
     """Return a machine that knows ``jobs`` without having accepted them."""
     specs = {job.job_id: job for job in jobs}
@@ -51,6 +52,7 @@
         return specs[job_id].steps[int(step)].need
 
     world = SimWorld(make_workers(count), get_need, lambda _: work_s, fails)
+    world.lease_s = lease_s
     for job in jobs:
         for step, spec in enumerate(job.steps):
             if spec.gang:
--- a/tests/fleet/checks.py
+++ b/tests/fleet/checks.py
@@ -5,11 +5,13 @@
 from larkhoist.codes import Code
 from larkhoist.ports.task_worker import EndKind
 from tests.fleet.machine import FleetMachine
-from tests.fleet.sim_worker import Run
+from tests.fleet.sim_worker import STOP_S, Run
 
-__all__ = ["check_history", "check_outcomes"]
+__all__ = ["check_history", "check_outcomes", "check_running"]
 
 CANCEL_S = 3.0
+SLACK_S = 0.2
+"""How exact the machine is: a step and the sum of its roundings."""
 
 
 def check_history(machine: FleetMachine) -> None:
@@ -23,6 +25,11 @@
         _check_budget(machine, task, runs)
         _check_order(machine, task, runs, by_task)
         _check_cancelled(machine, task, runs)
+    by_phase: dict[str, list[Run]] = defaultdict(list)
+    for run in machine.world.history:
+        by_phase[run.task.rpartition(".")[0]].append(run)
+    for phase in by_phase.keys() & machine.world.gangs.keys():
+        _check_gang(phase, by_phase[phase])
 
 
 def check_outcomes(machine: FleetMachine) -> None:
@@ -43,13 +50,44 @@
                 assert task in done or spec.gang and gang, f"{task} never ended done"
 
 
+def check_running(machine: FleetMachine) -> None:
+    """Raise ``AssertionError`` where a task of a cancelled job runs on now.
+
+    The time counts from when the job was cancelled, the task began and its worker was
+    last out of reach, whichever comes last.
+    """
+    for worker in machine.world.workers.values():
+        reachable_s = machine.troubled_s.get(worker.name, float("-inf"))
+        for run in worker.runs.values():
+            cancelled_s = machine.cancelled_s.get(run.task.split(".")[0])
+            if cancelled_s is None:
+                continue
+            since_s = max(cancelled_s, run.began_s, reachable_s)
+            over = machine.now_s > since_s + CANCEL_S + STOP_S + SLACK_S
+            assert not over, f"{run.task} runs on after cancelling on {run.worker}"
+
+
 def _check_once(task: str, runs: list[Run]) -> None:
-    for earlier, later in zip(runs, runs[1:], strict=False):
-        assert earlier.ended_s is not None, f"{task} runs twice"
-        assert earlier.ended_s <= later.began_s, f"{task} runs twice at once"
-        known_done = earlier.kind is EndKind.DONE and earlier.noted
-        assert not known_done, f"{task} runs again after its end"
-        assert earlier.attempt < later.attempt, f"{task} repeats an attempt"
+    for number, later in enumerate(runs):
+        for earlier in runs[:number]:
+            assert earlier.ended_s is not None, f"{task} runs twice"
+            assert earlier.ended_s <= later.began_s, f"{task} runs twice at once"
+            known_done = earlier.kind is EndKind.DONE and earlier.noted
+            assert not known_done, f"{task} runs again after its end"
+            assert earlier.attempt < later.attempt, f"{task} repeats an attempt"
+
+
+def _check_gang(phase: str, runs: list[Run]) -> None:
+    """Check that attempts of a gang follow one another and none its end."""
+    runs.sort(key=lambda run: run.began_s)
+    for number, later in enumerate(runs):
+        for earlier in runs[:number]:
+            if earlier.attempt == later.attempt:
+                continue
+            ended = earlier.ended_s is not None and earlier.ended_s <= later.began_s
+            assert ended, f"attempts of gang {phase} run at once"
+            known_done = earlier.kind is EndKind.DONE and earlier.noted
+            assert not known_done, f"gang {phase} runs again after its end"
 
 
 def _check_budget(machine: FleetMachine, task: str, runs: list[Run]) -> None:
@@ -74,7 +112,10 @@
 
 
 def _check_cancelled(machine, task: str, runs: list[Run]) -> None:
+    """Check begins against the time of cancelling, but for orders done late."""
     cancelled_s = machine.cancelled_s.get(task.split(".")[0])
-    if cancelled_s is not None:
-        began_s = runs[-1].began_s
-        assert began_s <= cancelled_s + CANCEL_S, f"{task} began after cancelling"
+    if cancelled_s is None:
+        return
+    for run in runs:
+        began = run.late or run.began_s <= cancelled_s + CANCEL_S
+        assert began, f"{task} began after cancelling"
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -1,17 +1,27 @@
 """Drive the scheduler against simulated workers on a passed clock.
 
-Calls are lost, delayed and carried out late; owners are replaced at any step,
-with rounds that never reached the log; workers fall silent, die and leave.
+Calls are lost, delayed, refused and carried out late, and answers overtake one
+another; owners are replaced at any step, with rounds that never reached the log or
+reached one stream alone; workers fall silent, leave, die and come up anew at the same
+address; the list is read late. Sessions and steps are those of ``WorkerSession`` and
+``FleetOwner``.
 """
 
 import random
+from collections import deque
 from dataclasses import dataclass, field
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from larkhoist.codes import Code
 from larkhoist.control.round_records import encode_round
-from larkhoist.fleet.effects import Round, StartTask, StopTask
+from larkhoist.control.worker_session import (
+    Message,
+    ReportAnswer,
+    StartAnswer,
+    StopAnswer,
+)
+from larkhoist.fleet.effects import Note, Round, StartTask, StopTask
 from larkhoist.fleet.policy import FleetPolicy
 from larkhoist.fleet.scheduler import FleetScheduler, create_fleet_scheduler
 from larkhoist.jobs.book import JobBook
@@ -23,27 +33,60 @@
     make_phase_drop,
 )
 from larkhoist.jobs.spec import StagedJob
+from larkhoist.ports.fleet import ListedTaskWorker
 from larkhoist.ports.keyed_log import KeyedRecord, StoredRecord
 from larkhoist.ports.task_worker import LeaseCall, StartOrder, StopOrder
-from tests.fleet.sim_worker import LEASE_S, SimWorker, SimWorld, make_listed
+from larkhoist.problem import Problem
+from tests.fleet.sim_worker import SimWorker, SimWorld, make_listed
 
-__all__ = ["FleetMachine"]
+__all__ = ["LATE_S", "FleetMachine"]
 
 STEP_S = 0.1
 ASK_S = 0.5
 START_MS = 1_700_000_000_000
+CALL_TIMEOUT_S = 0.7
+"""After this time a call counts as without an answer, as in the worker's client."""
+SILENT_PAUSE_S = 0.4
+START_TRIES = 2
+START_PAUSE_S = 0.1
+STUCK_S = 1.0
+PREDECESSOR_S = 1.0
+LATE_S = (0.0, 0.3, 2.0, 6.0, 12.0)
+"""How much later an order without an answer may be carried out."""
+
+Order = StartOrder | StopOrder | LeaseCall
+
+
+@dataclass(slots=True)
+class _Session:
+    """Hold what a session knows of its worker, as ``WorkerSession`` does."""
+
+    worker: str
+    address: str
+    clock_ms: int
+    clock_s: float
+    busy: bool = True
+    silent: bool = False
+    woken: bool = True
+    asking: bool = False
+    ask_from_s: float = float("-inf")
+    acknowledged: int = 0
+    to_acknowledge: int = 0
+    closed: bool = False
 
 
 @dataclass(slots=True)
 class _Owner:
-    """Hold what an owner's sessions know of workers, besides its scheduler."""
+    """Hold an owner's scheduler, sessions, inbox and rounds on their way."""
 
     term: int
     scheduler: FleetScheduler
-    silent: set[str] = field(default_factory=set)
-    asked_s: dict[str, float] = field(default_factory=dict)
-    acknowledged: dict[str, int] = field(default_factory=dict)
+    sessions: dict[str, _Session] = field(default_factory=dict)
+    inbox: list[Message] = field(default_factory=list)
     uncommitted: list[Round] = field(default_factory=list)
+    stuck_since_s: float | None = None
+    renews_until_s: float = float("inf")
+    fenced: bool = False
 
 
 @dataclass(slots=True)
@@ -52,7 +95,70 @@
 
     due_s: float
     worker: str
-    order: StartOrder | StopOrder | LeaseCall
+    order: Order
+
+
+@dataclass(frozen=True, slots=True)
+class _Asking:
+    """Name a renewal of the session's own loop."""
+
+    asked_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Probing:
+    """Name a report asked for beside the session's own loop."""
+
+    asked_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Starting:
+    """Name a try of a start; ``may_act`` tells that an earlier one got no answer."""
+
+    start: StartTask
+    tries_left: int
+    may_act: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Stopping:
+    """Name a stop under way."""
+
+    stop: StopTask
+
+
+_Purpose = _Asking | _Probing | _Starting | _Stopping
+
+
+@dataclass(slots=True)
+class _Answer:
+    """Hold an answer that reaches a session at ``due_s``."""
+
+    due_s: float
+    owner: _Owner
+    session: _Session
+    purpose: _Purpose
+    result: Result
+
+
+@dataclass(slots=True)
+class _Retry:
+    """Hold a second try of a start that is sent at ``due_s``."""
+
+    due_s: float
+    owner: _Owner
+    session: _Session
+    start: StartTask
+
+
+@dataclass(frozen=True, slots=True)
+class NoteAt:
+    """Hold what an owner decided and when, to tell why a promise broke."""
+
+    at_s: float
+    term: int
+    note: Note
 
 
 class FleetMachine:
@@ -70,10 +176,22 @@
         self.cancelled_s: dict[str, float] = {}
         self.cut: set[str] = set()
         self.lose_answers = 0.0
+        self.slow_answers = 0.0
+        self.lags_s: dict[str, float] = {}
         self.log_down = False
+        self.list_lag_s = 0.0
         self.late: list[_LateOrder] = []
+        self.notes: list[NoteAt] = []
+        self.troubled_s: dict[str, float] = {}
+        self._lists: deque[tuple[float, list[ListedTaskWorker]]] = deque()
+        self._read_list: list[ListedTaskWorker] = []
+        self._read_s = self.now_s
+        self._answers: list[_Answer] = []
+        self._retries: list[_Retry] = []
+        self._former: list[_Owner] = []
         self.term = 0
         self.owner: _Owner | None = None
+        self._read_workers()
         self.replace_owner()
 
     @property
@@ -100,21 +218,19 @@
     def replace_owner(self) -> None:
         """Let another instance take over from what the log holds.
 
-        Of the round that was under way, one stream may have got its part alone.
+        Of the rounds that were under way, each stream may have got some. The former
+        owner renews leases for as long as its policy allows.
         """
-        if self.owner is not None and self.owner.uncommitted:
-            decided = self.owner.uncommitted[0]
-            records = encode_round(decided)
-            match self.random.randrange(3):
-                case 0:
-                    self._keep_jobs(records.jobs)
-                case 1:
-                    self._keep_progress(records.progress)
+        if self.owner is not None:
+            self._keep_some_rounds(self.owner.uncommitted)
+            self.owner.uncommitted = []
+            self.owner.renews_until_s = self.now_s + PREDECESSOR_S
+            self._former.append(self.owner)
         self.term += 1
-        policy = FleetPolicy(lease_s=LEASE_S, predecessor_s=1.0)
+        policy = FleetPolicy(lease_s=self.world.lease_s, predecessor_s=PREDECESSOR_S)
         scheduler = create_fleet_scheduler(policy, self.now_s)
         scheduler.set_guarantees(self.guarantees)
-        scheduler.take_list(self._list_workers(), self.now_s)
+        scheduler.take_list(self._read_list, self.now_s)
         left_over = self.book.take_progress(self.progress.values())
         self._keep_progress(tuple(make_phase_drop(phase) for phase in left_over))
         scheduler.take_book(self.book, self.now_s, self.now_ms)
@@ -125,120 +241,309 @@
         self.now_s += STEP_S
         self._carry_out_late()
         self.world.advance(self.now_s)
-        owner = self.owner
-        owner.scheduler.take_list(self._list_workers(), self.now_s)
-        self._ask_workers(owner)
-        if not self.log_down:
-            rounds, owner.uncommitted = owner.uncommitted, []
-            for decided in rounds:
-                self._commit(owner, decided)
-            decided = owner.scheduler.decide(self.now_s, self.now_ms)
-            for stop in decided.stops:
-                self._send_stop(owner, stop)
-            for name in decided.probes:
-                if name in self.world.workers:
-                    self._ask_worker(owner, self.world.workers[name])
-            # A round reaches the log a step later, or never.
-            owner.uncommitted.append(decided)
+        self._note_trouble()
+        self._read_workers()
+        self._hear_answers()
+        self._former = [
+            former for former in self._former if former.renews_until_s > self.now_s
+        ]
+        for owner in (*self._former, self.owner):
+            self._ask_workers(owner)
+        self._step_owner(self.owner)
+
+    def pass_idle(self, seconds: float) -> None:
+        """Let time pass at once in which nobody calls anybody: no task runs."""
+        assert not any(worker.runs for worker in self.world.workers.values())
+        self.now_s += seconds
 
     def run(self, seconds: float) -> None:
         """Let time pass."""
-        for _ in range(int(seconds / STEP_S)):
+        for _ in range(round(seconds / STEP_S)):
             self.step()
 
-    # Calls to workers.
+    # The owner's step: the list, then the inbox, then decisions.
+
+    def _step_owner(self, owner: _Owner) -> None:
+        scheduler = owner.scheduler
+        scheduler.take_list(self._read_list, self.now_s)
+        self._match_sessions(owner)
+        inbox, owner.inbox = owner.inbox, []
+        for message in inbox:
+            self._take_message(owner, message)
+        self._commit_rounds(owner)
+        since_s = owner.stuck_since_s
+        if since_s is not None and since_s < self.now_s - STUCK_S:
+            return
+        decided = scheduler.decide(self.now_s, self.now_ms)
+        self._carry_out(owner, decided)
+        self._update_sessions(owner)
+
+    def _match_sessions(self, owner: _Owner) -> None:
+        for entry in self._read_list:
+            if entry.name not in owner.sessions:
+                owner.sessions[entry.name] = _Session(
+                    entry.name, entry.address, entry.clock_ms, self._read_s
+                )
 
-    def _ask_workers(self, owner: _Owner) -> None:
-        for worker in self.world.workers.values():
-            known = owner.scheduler.state.workers.get(worker.name)
-            if known is None or not known.service:
-                continue
-            asked_s = owner.asked_s.get(worker.name, float("-inf"))
-            busy = owner.scheduler.needs_lease(worker.name)
-            busy = busy or worker.name in owner.silent
-            if asked_s + ASK_S > self.now_s or not busy and asked_s > 0:
-                continue
-            owner.asked_s[worker.name] = self.now_s
-            self._ask_worker(owner, worker)
+    def _update_sessions(self, owner: _Owner) -> None:
+        workers = owner.scheduler.state.workers
+        for name, session in list(owner.sessions.items()):
+            if name in workers:
+                session.busy = bool(workers[name].tasks)
+                session.woken = session.woken or session.busy
+            else:
+                # Orders under way may act, and nobody hears what comes of them.
+                session.closed = True
+                del owner.sessions[name]
 
-    def _ask_worker(self, owner: _Owner, worker: SimWorker) -> None:
-        lease_until_ms = None
-        if worker.name not in owner.silent:
-            lease_until_ms = self._get_lease_until_ms(worker)
-            owner.scheduler.note_lease_sent(worker.name, self.now_s)
-        acknowledged = owner.acknowledged.get(worker.name, 0)
-        call = LeaseCall(owner.term, acknowledged, lease_until_ms)
-        answer = self._call(worker, call)
-        if answer is None:
-            owner.silent.add(worker.name)
-            owner.scheduler.note_silent(worker.name, self.now_s)
+    def _take_message(self, owner: _Owner, message: Message) -> None:
+        scheduler = owner.scheduler
+        if message.worker not in scheduler.state.workers:
             return
-        match answer:
-            case Success(report):
-                owner.silent.discard(worker.name)
-                owner.scheduler.note_heard(worker.name, self.now_s)
-                owner.scheduler.take_report(
-                    worker.name, report, self.now_s, self.now_s + 0.01, self.now_ms
-                )
-            case Failure(problem):
-                raise AssertionError(f"the newest owner was refused: {problem}")
+        match message:
+            case ReportAnswer(worker, asked_s, Success(report)):
+                scheduler.note_heard(worker, asked_s)
+                scheduler.take_report(worker, report, asked_s, self.now_s, self.now_ms)
+            case ReportAnswer(worker, _, Failure(problem)):
+                self._take_failed_call(owner, worker, problem.code)
+            case StartAnswer(worker, task, attempt, code, may_act):
+                scheduler.take_start_answer(task, attempt, code, may_act, self.now_s)
+                if code is not None:
+                    self._take_failed_call(owner, worker, code)
+            case StopAnswer(_, task, attempt, None):
+                scheduler.take_stop_answer(task, attempt, self.now_s)
+            case StopAnswer(worker, _, _, code):
+                self._take_failed_call(owner, worker, code)
+
+    def _take_failed_call(self, owner: _Owner, worker: str, code: Code) -> None:
+        match code:
+            case Code.FENCED:
+                raise AssertionError("the newest owner was refused")
+            case Code.WORKER_REPLACED:
+                owner.scheduler.note_gone(worker, "replaced", self.now_s)
+            case Code.WORKER_SILENT:
+                owner.scheduler.note_silent(worker, self.now_s)
+
+    def _carry_out(self, owner: _Owner, decided: Round) -> None:
+        for note in decided.notes:
+            self.notes.append(NoteAt(self.now_s, owner.term, note))
+        for stop in decided.stops:
+            session = owner.sessions.get(stop.worker)
+            if session is not None:
+                order = StopOrder(stop.task, stop.attempt, owner.term)
+                self._call(owner, session, _Stopping(stop), order)
+        for name in decided.probes:
+            session = owner.sessions.get(name)
+            if session is not None:
+                call = LeaseCall(owner.term, session.to_acknowledge)
+                self._call(owner, session, _Probing(self.now_s), call)
+        # A round reaches the log a step later, or never.
+        owner.uncommitted.append(decided)
+
+    def _commit_rounds(self, owner: _Owner) -> None:
+        if self.log_down:
+            if owner.uncommitted and owner.stuck_since_s is None:
+                owner.stuck_since_s = self.now_s
+            return
+        owner.stuck_since_s = None
+        rounds, owner.uncommitted = owner.uncommitted, []
+        for decided in rounds:
+            self._commit(owner, decided)
 
     def _commit(self, owner: _Owner, decided: Round) -> None:
         records = encode_round(decided)
         self._keep_jobs(records.jobs)
         self._keep_progress((*records.progress, *records.dropped))
         for name, number in decided.seen.items():
-            owner.acknowledged[name] = max(owner.acknowledged.get(name, 0), number)
+            session = owner.sessions.get(name)
+            if session is not None and number > session.to_acknowledge:
+                session.to_acknowledge = number
+                session.woken = True
         for start in decided.starts:
-            if owner.scheduler.is_wanted(start.task, start.attempt):
-                self._send_start(owner, start)
-            else:
+            session = owner.sessions.get(start.worker)
+            wanted = owner.scheduler.is_wanted(start.task, start.attempt)
+            if session is None or not wanted:
                 owner.scheduler.note_never_sent(start.task, start.attempt, self.now_s)
+                continue
+            session.busy = session.woken = True
+            self._send_start(owner, session, start, START_TRIES, may_act=False)
 
-    def _send_start(self, owner: _Owner, start: StartTask) -> None:
-        worker = self.world.workers[start.worker]
-        owner.scheduler.note_lease_sent(worker.name, self.now_s)
+    # Sessions.
+
+    def _ask_workers(self, owner: _Owner) -> None:
+        for session in owner.sessions.values():
+            due = session.woken and not session.asking
+            if due and self.now_s >= session.ask_from_s:
+                self._ask_worker(owner, session)
+
+    def _ask_worker(self, owner: _Owner, session: _Session) -> None:
+        lease_until_ms = None
+        if not session.silent and self._may_renew(owner, session):
+            lease_until_ms = self._get_lease_until_ms(session)
+        session.asking = True
+        session.ask_from_s = self.now_s + (ASK_S if session.busy else 0.0)
+        session.acknowledged = session.to_acknowledge
+        call = LeaseCall(owner.term, session.to_acknowledge, lease_until_ms)
+        self._call(owner, session, _Asking(self.now_s), call)
+
+    def _may_renew(self, owner: _Owner, session: _Session) -> bool:
+        if owner.fenced or self.now_s >= owner.renews_until_s:
+            return False
+        if session.worker not in owner.scheduler.state.workers:
+            return False
+        owner.scheduler.note_lease_sent(session.worker, self.now_s)
+        return True
+
+    def _get_lease_until_ms(self, session: _Session) -> int:
+        passed_ms = max(0.0, self.now_s - session.clock_s) * 1000
+        return int(session.clock_ms + passed_ms + self.world.lease_s * 1000)
+
+    def _send_start(
+        self,
+        owner: _Owner,
+        session: _Session,
+        start: StartTask,
+        tries: int,
+        *,
+        may_act: bool,
+    ) -> None:
+        if not self._may_renew(owner, session):
+            code = Code.WORKER_SILENT if may_act else Code.ORDER_REFUSED
+            self._tell_start(owner, session, start, code, may_act=may_act)
+            return
         order = StartOrder(
             start.task,
             start.attempt,
             start.payload,
-            self._get_lease_until_ms(worker),
+            self._get_lease_until_ms(session),
             owner.term,
             start.checkpoint,
         )
-        # As a session does: an order without an answer is sent once more.
-        answer, may_act = self._call(worker, order), False
-        if answer is None:
-            answer, may_act = self._call(worker, order), True
-        code = Code.WORKER_SILENT
-        if answer is not None:
-            code = None if isinstance(answer, Success) else answer.failure().code
-        owner.scheduler.take_start_answer(
-            start.task, start.attempt, code, may_act, self.now_s
+        self._call(owner, session, _Starting(start, tries - 1, may_act), order)
+
+    def _tell_start(self, owner, session, start, code, *, may_act: bool) -> None:
+        owner.inbox.append(
+            StartAnswer(session.worker, start.task, start.attempt, code, may_act)
         )
 
-    def _send_stop(self, owner: _Owner, stop: StopTask) -> None:
-        worker = self.world.workers.get(stop.worker)
-        if worker is None:
+    def _hear_answers(self) -> None:
+        """Let answers reach their sessions; those due together in any order."""
+        due = [answer for answer in self._answers if answer.due_s <= self.now_s]
+        self._answers = [a for a in self._answers if a.due_s > self.now_s]
+        if self.slow_answers:
+            self.random.shuffle(due)
+        for answer in due:
+            if not answer.session.closed:
+                self._hear(answer)
+        retries = [retry for retry in self._retries if retry.due_s <= self.now_s]
+        self._retries = [r for r in self._retries if r.due_s > self.now_s]
+        for retry in retries:
+            if not retry.session.closed:
+                self._send_start(
+                    retry.owner, retry.session, retry.start, 1, may_act=True
+                )
+
+    def _hear(self, answer: _Answer) -> None:
+        owner, session, result = answer.owner, answer.session, answer.result
+        if isinstance(result, Failure) and result.failure().code is Code.FENCED:
+            assert owner is not self.owner, "the newest owner was refused"
+            owner.fenced = True
             return
-        order = StopOrder(stop.task, stop.attempt, owner.term)
-        if self._call(worker, order) is not None:
-            owner.scheduler.take_stop_answer(stop.task, stop.attempt, self.now_s)
+        match answer.purpose:
+            case _Asking(asked_s):
+                session.asking = False
+                self._hear_report(session, result)
+                owner.inbox.append(ReportAnswer(session.worker, asked_s, result))
+            case _Probing(asked_s):
+                owner.inbox.append(ReportAnswer(session.worker, asked_s, result))
+            case _Starting() as starting:
+                self._hear_start(owner, session, starting, result)
+            case _Stopping(stop):
+                code = self._take_clock(session, result)
+                owner.inbox.append(
+                    StopAnswer(session.worker, stop.task, stop.attempt, code)
+                )
+
+    def _hear_report(self, session: _Session, result: Result) -> None:
+        match result:
+            case Success(report):
+                session.silent = False
+                session.clock_ms, session.clock_s = report.clock_ms, self.now_s
+                # What is asked for after this report has to be acknowledged anew.
+                session.woken = (
+                    session.busy or session.to_acknowledge > session.acknowledged
+                )
+            case Failure(_):
+                session.silent = True
+                session.ask_from_s = self.now_s + SILENT_PAUSE_S
+
+    def _hear_start(self, owner, session, starting: _Starting, result) -> None:
+        code = self._take_clock(session, result)
+        start, may_act = starting.start, starting.may_act
+        if code is Code.WORKER_SILENT:
+            may_act = True
+            if starting.tries_left:
+                due_s = self.now_s + START_PAUSE_S
+                self._retries.append(_Retry(due_s, owner, session, start))
+                return
+        self._tell_start(owner, session, start, code, may_act=may_act)
+
+    def _take_clock(self, session: _Session, result: Result) -> Code | None:
+        match result:
+            case Success(clock_ms):
+                session.clock_ms, session.clock_s = clock_ms, self.now_s
+                return None
+            case Failure(problem):
+                return problem.code
 
-    def _call(self, worker: SimWorker, order):
+    # Calls to workers.
+
+    def _call(
+        self, owner: _Owner, session: _Session, purpose: _Purpose, order: Order
+    ) -> None:
+        """Have an order carried out now, late or never; its answer comes in time."""
+        result = self._reach(session, order)
+        if result is None:
+            due_s = self.now_s + CALL_TIMEOUT_S
+            result = Failure(Problem(Code.WORKER_SILENT))
+        else:
+            due_s = self.now_s
+            if self.random.random() < self.slow_answers:
+                due_s += self.random.choice((0.1, 0.2, 0.4, 0.6))
+        answer = _Answer(due_s, owner, session, purpose, result)
+        if due_s <= self.now_s:
+            self._hear(answer)
+        else:
+            self._answers.append(answer)
+
+    def _reach(self, session: _Session, order: Order) -> Result | None:
         """Return the answer, None where none comes; the order may act later."""
-        if worker.dead or worker.name in self.cut:
+        if session.worker in self.cut or session.address in self.cut:
             return None
-        if self.random.random() < self.lose_answers:
-            due_s = self.now_s + self.random.choice((0.0, 0.3, 2.0, 6.0))
-            self.late.append(_LateOrder(due_s, worker.name, order))
+        lag_s = self.lags_s.get(session.address)
+        if lag_s is None and self.random.random() < self.lose_answers:
+            lag_s = self.random.choice(LATE_S)
+        if lag_s is not None:
+            due_s = self.now_s + lag_s
+            self.late.append(_LateOrder(due_s, session.worker, order))
             return None
-        return self._carry_out(worker, order)
+        worker = self.world.workers[session.worker]
+        if worker.dead:
+            successor = self.world.find_at(session.address)
+            return successor and Failure(Problem(Code.WORKER_REPLACED))
+        return self._carry_out_order(worker, order, late=False)
 
-    def _carry_out(self, worker: SimWorker, order):
+    def _carry_out_order(self, worker: SimWorker, order: Order, *, late: bool):
         match order:
             case StartOrder():
-                return self.world.start(worker, order, self.now_s)
+                refusing = self.now_s < worker.refusing_until_s
+                return self.world.start(
+                    worker,
+                    order,
+                    self.now_s,
+                    unhealthy=refusing and self.random.random() < worker.refused_share,
+                    late=late,
+                )
             case StopOrder():
                 return self.world.stop(worker, order, self.now_s)
             case LeaseCall():
@@ -250,21 +555,55 @@
         for late in due:
             worker = self.world.workers[late.worker]
             if not worker.dead:
-                self._carry_out(worker, late.order)
+                self._carry_out_order(worker, late.order, late=True)
 
-    def _get_lease_until_ms(self, worker: SimWorker) -> int:
-        return worker.get_clock_ms(self.now_s) + int(LEASE_S * 1000)
+    # The list of workers.
 
-    def _list_workers(self):
+    def _list_workers(self) -> list[ListedTaskWorker]:
         return [
             make_listed(worker, self.now_s)
             for worker in self.world.workers.values()
             if worker.listed
         ]
 
+    def _read_workers(self) -> None:
+        """Read the list as it was a while ago; nothing is read while the log is down.
+
+        What was read once is never read in an older state.
+        """
+        self._lists.append((self.now_s, self._list_workers()))
+        if self.log_down:
+            return
+        while self._lists and self._lists[0][0] <= self.now_s - self.list_lag_s:
+            self._read_list = self._lists.popleft()[1]
+            self._read_s = self.now_s
+
+    def _note_trouble(self) -> None:
+        """Remember when a worker was last out of reach, for bounds on time."""
+        everywhere = self.log_down or self.lose_answers or self.list_lag_s
+        late = {order.worker for order in self.late}
+        for name, worker in self.world.workers.items():
+            out_of_reach = name in self.cut or worker.address in self.cut
+            out_of_reach = out_of_reach or worker.address in self.lags_s
+            if everywhere or out_of_reach or name in late:
+                self.troubled_s[name] = self.now_s
+
+    # The log.
+
     def _append(self, record: JobRecord) -> None:
         self._keep_jobs((encode_job_record(record),))
 
+    def _keep_some_rounds(self, rounds: list[Round]) -> None:
+        """Keep the first of some rounds, on each stream as many as chance has it."""
+        kept_jobs = self.random.randint(0, len(rounds))
+        kept_progress = self.random.randint(0, len(rounds))
+        for number, decided in enumerate(rounds):
+            records = encode_round(decided)
+            if number < kept_jobs:
+                self._keep_jobs(records.jobs)
+            if number < kept_progress:
+                self._keep_progress(records.progress)
+
     def _keep_jobs(self, records: tuple[KeyedRecord, ...]) -> None:
         for kept in records:
             self.book.apply(StoredRecord(self.offset, kept.key, kept.value))
--- a/tests/fleet/sim_worker.py
+++ b/tests/fleet/sim_worker.py
@@ -1,4 +1,10 @@
-"""Stand in for workers on a passed clock, with gangs, leases and tokens."""
+"""Stand in for workers on a passed clock, with gangs, leases and tokens.
+
+A worker says that it leaves or does not, serves on for a while and ends with all it
+runs. Its entry on the platform's list is apart from its life: it may go while the
+worker still runs, and come back. A later life has a name of its own and may have the
+address of one that has ended.
+"""
 
 from dataclasses import dataclass, field
 
@@ -22,6 +28,8 @@
 GANG_WAIT_S = 3.0
 STOP_S = 0.5
 LEASE_S = 10.0
+SERVES_ON_S = 2.0
+"""How long a worker serves on at least from when it says that it leaves."""
 
 
 @dataclass(slots=True)
@@ -29,7 +37,8 @@
     """Hold one run of a task, for the checks; ``ended_s`` is None while it runs.
 
     ``noted`` tells whether its end was acknowledged before the lease lapsed: only
-    then must the system know of it.
+    then must the system know of it. ``late`` tells that the start was carried out
+    late.
     """
 
     task: str
@@ -40,40 +49,58 @@
     ended_s: float | None = None
     kind: EndKind | None = None
     noted: bool = False
+    late: bool = False
     stopping_s: float | None = None
     works_since_s: float | None = None
 
 
 @dataclass(slots=True)
 class SimWorker:
-    """Hold one incarnation of a worker; its clock runs ``rate`` times true time."""
+    """Hold one incarnation of a worker; its clock runs ``rate`` times true time.
+
+    ``listed`` tells whether its entry is on the platform's list, ``leaving`` whether
+    it has said that it leaves, and ``stays_until_s`` how long it serves on at least.
+    """
 
     name: str
     rack: str
     capacity: Resources
     rate: float = 1.0
+    address: str = ""
     token: int = 0
     lease_until_ms: int = 0
     listed: bool = True
     leaving: bool = False
+    stays_until_s: float = float("inf")
+    ends_s: float = float("inf")
     dead: bool = False
-    runs: dict[str, Run] = field(default_factory=dict)
+    dead_since_s: float = float("inf")
+    refusing_until_s: float = float("-inf")
+    refused_share: float = 1.0
+    runs: dict[tuple[str, int], Run] = field(default_factory=dict)
     ends: list[EndedTask] = field(default_factory=list)
     floors: dict[str, int] = field(default_factory=dict)
     number: int = 0
     lapsed_s: float = float("-inf")
 
+    def __post_init__(self):
+        self.address = self.address or self.name
+
     def get_clock_ms(self, now_s: float) -> int:
         """Return the worker's own clock."""
         return int(now_s * self.rate * 1000)
 
 
 class SimWorld:
-    """Hold all workers, how long tasks work and everything that ever ran."""
+    """Hold all workers, how long tasks work and everything that ever ran.
+
+    ``lease_s`` is the longest lease that workers grant.
+    """
 
     def __init__(self, workers: list[SimWorker], need_of, work_s_of, fails):
         self.workers = {worker.name: worker for worker in workers}
         self.history: list[Run] = []
+        self.lease_s = LEASE_S
         self._need_of = need_of
         self._work_s_of = work_s_of
         self._fails = fails
@@ -81,23 +108,36 @@
         self._ended: dict[tuple[str, int], Run] = {}
 
     def start(
-        self, worker: SimWorker, order: StartOrder, now_s: float
+        self,
+        worker: SimWorker,
+        order: StartOrder,
+        now_s: float,
+        *,
+        unhealthy: bool = False,
+        late: bool = False,
     ) -> Result[int, Problem]:
-        """Carry out a start as a worker would."""
+        """Carry out a start as a worker would; an unhealthy one does nothing."""
+        if unhealthy:
+            return Failure(Problem(Code.ORDER_REFUSED))
+        self._end_lapsed(worker, now_s)
         clock_ms = worker.get_clock_ms(now_s)
         refusal = self._refuse(worker, order, clock_ms)
+        # Whoever comes too late for the run brings the lease all the same.
+        if refusal in (None, Code.ATTEMPT_TOO_OLD, Code.WORKER_FULL):
+            self._grant(worker, order.lease_until_ms, now_s)
         if refusal is not None:
             return Failure(Problem(refusal))
-        worker.lease_until_ms = max(worker.lease_until_ms, order.lease_until_ms)
-        if order.task not in worker.runs:
+        key = (order.task, order.attempt)
+        if key not in worker.runs:
             run = Run(
                 order.task,
                 order.attempt,
                 worker.name,
                 now_s,
                 self._need_of(order.task),
+                late=late,
             )
-            worker.runs[order.task] = run
+            worker.runs[key] = run
             self.history.append(run)
         return Success(clock_ms)
 
@@ -105,8 +145,7 @@
         if order.token < worker.token:
             return Code.FENCED
         worker.token = order.token
-        running = worker.runs.get(order.task)
-        if running is not None and running.attempt == order.attempt:
+        if (order.task, order.attempt) in worker.runs:
             return None
         if order.attempt <= worker.floors.get(order.task, 0):
             return Code.ATTEMPT_TOO_OLD
@@ -117,33 +156,39 @@
             return Code.WORKER_FULL
         return None
 
+    def _grant(self, worker: SimWorker, until_ms: int, now_s: float) -> None:
+        """Lengthen the lease, cut to the longest from when the call is done."""
+        longest_ms = worker.get_clock_ms(now_s) + int(self.lease_s * 1000)
+        worker.lease_until_ms = max(worker.lease_until_ms, min(until_ms, longest_ms))
+
     def stop(
         self, worker: SimWorker, order: StopOrder, now_s: float
     ) -> Result[int, Problem]:
         """Carry out a stop, also of a run that has not arrived."""
+        self._end_lapsed(worker, now_s)
         if order.token < worker.token:
             return Failure(Problem(Code.FENCED))
         worker.token = order.token
         floor = worker.floors.get(order.task, 0)
         worker.floors[order.task] = max(floor, order.attempt)
-        run = worker.runs.get(order.task)
-        if run is not None and run.attempt <= order.attempt and run.stopping_s is None:
-            run.stopping_s = now_s
+        for run in worker.runs.values():
+            meant = run.task == order.task and run.attempt <= order.attempt
+            if meant and run.stopping_s is None:
+                run.stopping_s = now_s
         return Success(worker.get_clock_ms(now_s))
 
     def renew(
         self, worker: SimWorker, call: LeaseCall, now_s: float
     ) -> Result[WorkerReport, Problem]:
         """Renew the lease, forget acknowledged ends and report."""
+        self._end_lapsed(worker, now_s)
         if call.token < worker.token:
             return Failure(Problem(Code.FENCED))
         worker.token = call.token
         clock_ms = worker.get_clock_ms(now_s)
         self._acknowledge(worker, call.acknowledged)
         if call.lease_until_ms is not None:
-            longest_ms = clock_ms + int(LEASE_S * 1000)
-            until_ms = min(call.lease_until_ms, longest_ms)
-            worker.lease_until_ms = max(worker.lease_until_ms, until_ms)
+            self._grant(worker, call.lease_until_ms, now_s)
         running = tuple(
             RunningTask(run.task, run.attempt, "", 100) for run in worker.runs.values()
         )
@@ -161,30 +206,71 @@
         for worker in self.workers.values():
             if worker.dead:
                 continue
-            lapsed = worker.get_clock_ms(now_s) > worker.lease_until_ms
-            if lapsed:
-                worker.lapsed_s = now_s
+            if now_s >= worker.ends_s:
+                self.kill(worker, now_s)
+                worker.listed = False
+                continue
+            self._end_lapsed(worker, now_s)
             for run in list(worker.runs.values()):
-                if lapsed:
-                    self._end(worker, run, EndKind.LAPSED, now_s)
-                elif run.stopping_s is not None and now_s >= run.stopping_s + STOP_S:
+                if run.stopping_s is not None and now_s >= run.stopping_s + STOP_S:
                     self._end(worker, run, EndKind.STOPPED, now_s)
         for runs in self._group_runs().values():
             self._advance_group(runs, now_s)
 
+    def leave(
+        self, worker: SimWorker, now_s: float, extra_s: float = 0.0, *, says: bool
+    ) -> None:
+        """Have a worker end after it has served on; one that says so stays listed."""
+        worker.stays_until_s = min(worker.stays_until_s, now_s + SERVES_ON_S)
+        worker.ends_s = min(worker.ends_s, now_s + SERVES_ON_S + extra_s)
+        worker.leaving = worker.leaving or says
+        if not says:
+            worker.listed = False
+
+    def begin_life(self, former: SimWorker) -> SimWorker:
+        """Have a new worker come up at the address of one that has ended."""
+        assert former.dead, f"{former.name} is still up"
+        lives = sum(w.address == former.address for w in self.workers.values())
+        worker = SimWorker(
+            f"{former.address}.{lives}",
+            former.rack,
+            former.capacity,
+            former.rate,
+            former.address,
+        )
+        self.workers[worker.name] = worker
+        return worker
+
+    def find_at(self, address: str) -> SimWorker | None:
+        """Return the worker that is up at an address."""
+        for worker in self.workers.values():
+            if worker.address == address and not worker.dead:
+                return worker
+        return None
+
     def kill(self, worker: SimWorker, now_s: float) -> None:
         """End a worker with all that runs there."""
         worker.dead = True
+        worker.dead_since_s = now_s
         for run in worker.runs.values():
             run.ended_s = now_s
         worker.runs = {}
 
+    def _end_lapsed(self, worker: SimWorker, now_s: float) -> None:
+        if worker.get_clock_ms(now_s) <= worker.lease_until_ms:
+            return
+        worker.lapsed_s = now_s
+        for run in list(worker.runs.values()):
+            self._end(worker, run, EndKind.LAPSED, now_s)
+
     def _group_runs(self) -> dict[str, list[Run]]:
         groups: dict[str, list[Run]] = {}
         for worker in self.workers.values():
             for run in worker.runs.values():
                 phase = run.task.rpartition(".")[0]
-                key = f"{phase}@{run.attempt}" if phase in self.gangs else run.task
+                key = f"{phase}@{run.attempt}"
+                if phase not in self.gangs:
+                    key = f"{run.task}@{run.attempt}@{run.worker}"
                 groups.setdefault(key, []).append(run)
         return groups
 
@@ -217,7 +303,7 @@
                 self._end(worker, run, EndKind.ALONE, now_s)
 
     def _end(self, worker: SimWorker, run: Run, kind: EndKind, now_s: float) -> None:
-        del worker.runs[run.task]
+        del worker.runs[(run.task, run.attempt)]
         run.ended_s = now_s
         run.kind = kind
         worker.number += 1
@@ -232,12 +318,12 @@
     return ListedTaskWorker(
         worker.name,
         "service",
-        f"{worker.name}:1",
+        worker.address,
         "hall",
         worker.rack,
         frozenset(("a", worker.rack)),
         worker.capacity,
         worker.leaving,
-        3.0 if worker.leaving else None,
+        max(0.0, worker.stays_until_s - now_s) if worker.leaving else None,
         worker.get_clock_ms(now_s),
     )
