--- a/tests/fleet/disturbances.py
+++ b/tests/fleet/disturbances.py
@@ -9,6 +9,10 @@
 
 EXTRA_S = (0.0, 0.2, 1.0, 4.0, 10.0)
 """How much longer than it must a worker serves on."""
+LAPSE_S = 4.5
+"""After this silence an entry lapses, also while the log is down."""
+BACK_S = 2.0
+"""How soon lapsed entries are back once the log is."""
 ENTRY_GAP_S = (0.2, 1.0, 3.0, 8.0)
 """How long the entry of a living worker may be missing."""
 
@@ -26,6 +30,7 @@
         self._listed_again_s: dict[str, float] = {}
         self._unlisted_s: dict[str, float] = {}
         self._born_s: dict[str, float] = {}
+        self._down_since_s = float("inf")
 
     def step(self) -> None:
         """Bring about what is due, and perhaps something new."""
@@ -70,7 +75,7 @@
             case 9:
                 machine.slow_answers = chance.choice((0.0, 0.2, 0.8))
             case 10:
-                machine.log_down = not machine.log_down
+                self._switch_log()
             case 11:
                 machine.list_lag_s = chance.choice((0.0, 0.3, 1.0, 3.0))
             case 12:
@@ -85,6 +90,19 @@
             case 17 | 18 if machine.book.entries and chance.random() < 0.5:
                 machine.cancel(chance.choice(list(machine.book.entries)))
 
+    def _switch_log(self) -> None:
+        """Have the log go down or come back; entries may have lapsed meanwhile."""
+        machine = self._machine
+        machine.log_down = not machine.log_down
+        if machine.log_down:
+            self._down_since_s = machine.now_s
+        elif machine.now_s > self._down_since_s + LAPSE_S:
+            for worker in machine.world.workers.values():
+                if worker.listed and self._chance.random() < 0.5:
+                    worker.listed = False
+                    back_s = machine.now_s + self._chance.uniform(0.1, BACK_S)
+                    self._listed_again_s[worker.name] = back_s
+
     def _unlist_for_a_while(self, worker: SimWorker) -> None:
         """Have the entry of a living worker lapse and come back."""
         worker.listed = False
