--- a/tests/fleet/test_interleavings.py
+++ b/tests/fleet/test_interleavings.py
@@ -12,7 +12,9 @@
 
 SEEDS = 100
 FAULTY_S = 40.0
-QUIET_S = 90.0
+QUIET_S = 150.0
+WORK_S = (0.5, 1.5, 4.0, 12.0)
+"""How long tasks work; some outlast a lease that is not renewed."""
 CLOCK_RATES = (0.98, 0.99, 1.0)
 
 
@@ -57,7 +59,7 @@
         jobs,
         {"ann": 16, "bob": 8},
         seed,
-        chance.choice((0.5, 1.5, 4.0)),
+        chance.choice(WORK_S),
         lambda task, worker: worker == bad or task.split(".")[0] in hopeless,
         chance.choice((6.0, 10.0)),
     )
--- a/tests/fleet/test_proofs.py
+++ b/tests/fleet/test_proofs.py
@@ -161,3 +161,13 @@
     machine.submit(job)
     machine.run(30)
     assert machine.book.get(job.job_id).outcome is not None, "the gang waits for ever"
+
+
+def test_a_worker_that_refuses_a_start_does_not_hold_it_up_while_others_are_free():
+    job = make_job(1, ONE)
+    machine = make_machine(2, (job,))
+    machine.run(1)
+    machine.world.workers["w0"].refusing_until_s = machine.now_s + 5
+    machine.submit(job)
+    machine.run(1)
+    assert machine.world.history, "asked w0 alone, again and again"
