--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -13,6 +13,7 @@
 from larkhoist.control.round_records import encode_round
 from larkhoist.control.stream_follower import StreamFollower
 from larkhoist.control.stream_writer import StreamWriter
+from larkhoist.control.worker_clock import WorkerClock
 from larkhoist.control.worker_session import (
     Message,
     ReportAnswer,
@@ -319,8 +320,7 @@
                     self._create_port(name, heard.entry.address),
                     self.term,
                     self._times,
-                    heard.entry.clock_ms,
-                    heard.heard_s,
+                    WorkerClock(heard.entry.clock_ms, heard.heard_s),
                     self._grant_lease,
                     self._tell,
                 )
--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from larkhoist.codes import Code
+from larkhoist.control.worker_clock import WorkerClock
 from larkhoist.daemon.clock import read_steady_s
 from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.fleet.effects import StartTask, StopTask
@@ -74,12 +75,11 @@
 
     ``wait_share`` is how much of a lease may pass between two renewals: a short
     share lets leases outlast short cuts. ``idle_wait_s`` is how long a call without a
-    lease waits, ``clock_drift`` how much slower a worker's clock may run. Before a
-    start a clock that was last heard of ``clock_age_s`` ago is asked for anew.
+    lease waits. Before a start a clock that was last heard of ``clock_age_s`` ago is
+    asked for anew.
     """
 
     idle_wait_s: float = 0.6
-    clock_drift: float = 0.02
     clock_age_s: float = 30.0
     longest_wait_s: float = 1.0
     wait_share: float = 0.1
@@ -98,10 +98,6 @@
 class WorkerSession:
     """Own the calls to one worker and tell the owner what comes of them.
 
-    ``clock_ms`` is the worker's clock as heard at ``clock_s`` or before. The estimate
-    counts on from there as slowly as the clock may run, so that it is never ahead:
-    a lease that ends by it is over when the owner takes it as over, also when a call
-    is carried out late and the worker's own bound on leases does not shorten it.
     ``grant_lease`` says how long a lease a call may bring, None where it may not.
     """
 
@@ -111,8 +107,7 @@
         port: TaskWorkerPort,
         token: int,
         times: SessionTimes,
-        clock_ms: int,
-        clock_s: float,
+        clock: WorkerClock,
         grant_lease: GrantLease,
         tell: Callable[[Message], None],
     ):
@@ -120,8 +115,7 @@
         self._port = port
         self._token = token
         self._times = times
-        self._clock_ms = clock_ms
-        self._clock_s = clock_s
+        self._clock = clock
         self._grant_lease = grant_lease
         self._tell = tell
         self._busy = True
@@ -179,7 +173,9 @@
     async def _ask(self) -> None:
         now_s = read_steady_s()
         lease_s = None if self._silent else self._grant_lease(self._name, now_s)
-        lease_until_ms = self._get_lease_until_ms(now_s, lease_s)
+        lease_until_ms = None
+        if lease_s is not None:
+            lease_until_ms = self._clock.get_lease_until_ms(now_s, lease_s)
         waits = self._busy and not self._silent
         wait_ms = self._times.get_wait_ms(lease_s) if waits else 0
         acknowledged = self._to_acknowledge
@@ -219,7 +215,7 @@
                 return
 
     async def _start(self, order: StartTask) -> None:
-        if read_steady_s() > self._clock_s + self._times.clock_age_s:
+        if self._clock.get_age_s(read_steady_s()) > self._times.clock_age_s:
             # By an old estimate the lease is short, after 300 s over at once.
             await self._probe()
         code: Code | None = Code.ORDER_REFUSED
@@ -235,7 +231,7 @@
                     order.task,
                     order.attempt,
                     order.payload,
-                    self._get_lease_until_ms(now_s, lease_s),
+                    self._clock.get_lease_until_ms(now_s, lease_s),
                     self._token,
                     order.checkpoint,
                 )
@@ -265,15 +261,8 @@
                 code = problem.code
         self._tell(StopAnswer(self._name, order.task, order.attempt, code))
 
-    def _get_lease_until_ms(self, now_s: float, lease_s: float | None) -> int | None:
-        if lease_s is None:
-            return None
-        passed_s = max(0.0, now_s - self._clock_s) * (1 - self._times.clock_drift)
-        return int(self._clock_ms + 1000 * (passed_s + lease_s))
-
     def _take_clock(self, clock_ms: int) -> None:
-        self._clock_ms = clock_ms
-        self._clock_s = read_steady_s()
+        self._clock.take(clock_ms, read_steady_s())
 
     def _spawn(self, job) -> None:
         task = asyncio.create_task(job)
--- a/tests/control/test_worker_session.py
+++ b/tests/control/test_worker_session.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Success
 
 from larkhoist.codes import Code
+from larkhoist.control.worker_clock import WorkerClock
 from larkhoist.control.worker_session import SessionTimes, StartAnswer, WorkerSession
 from larkhoist.daemon.clock import read_steady_s
 from larkhoist.fleet.effects import StartTask
@@ -50,8 +51,7 @@
         ScriptedWorker(*codes),
         1,
         QUICK,
-        0,
-        read_steady_s(),
+        WorkerClock(0, read_steady_s()),
         lambda *_: 6.0,
         told.append,
     )
@@ -85,8 +85,7 @@
         worker,
         1,
         QUICK,
-        0,
-        read_steady_s() - rest_s,
+        WorkerClock(0, read_steady_s() - rest_s),
         lambda *_: lease_s,
         lambda message: None,
     )
