Show that a new hall owner takes a running gang as gone

The reports that come with the answers that bring the majority are dropped, since there is no scheduler yet; recovery then runs without any. One test passes before and after: a gang that no worker reports is placed anew.

--- /dev/null
+++ b/tests/test_hall_owner.py
@@ -0,0 +1,148 @@
+"""Check that a hall owner takes over what the workers' reports tell of.
+
+An owner died while a gang ran on two workers. Its successor got the leases of both in
+one round of answers, each with a report of the running gang. The successor had no
+scheduler yet and dropped these reports; with the leases it held every worker, took the
+hall as known, found no report of the gang and took it as gone: a repeatable gang was
+placed anew while its first attempt ran, another one was ended as lost while it ran.
+"""
+
+import asyncio
+
+import pytest
+
+from larkhoist.daemon.hall_owner import HallOwner
+from larkhoist.daemon.state_keeper import StateKeeper
+from larkhoist.daemon.worker_link import LeaseAnswer
+from larkhoist.log.objects import JobSpec
+from larkhoist.log.records import JobPlaced
+from larkhoist.log.state import JobEntry, JobState
+from larkhoist.ownership.tenure import LeaseTerms
+from larkhoist.ports.platform import Instance, InstanceList
+from larkhoist.ports.worker import LeaseReply, TaskReport, TaskState
+from larkhoist.scheduling.hall_job import JobPhase
+from larkhoist.scheduling.policy import SchedulingPolicy
+
+NAMES = ("w0", "w1")
+EPOCH = 1
+
+
+class RecordingLink:
+    """Stand for a link to a worker; keep what is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, command):
+        self.sent.append(command)
+
+    async def close(self):
+        pass
+
+
+class RecordingWriter:
+    """Keep what would be appended."""
+
+    def __init__(self):
+        self.records = []
+
+    def add(self, record):
+        self.records.append(record)
+
+
+class LogFollower:
+    """Stand for a log that is read to its end at once, or does not answer yet."""
+
+    def __init__(self, current):
+        self._current = current
+
+    async def catch_up(self):
+        return self._current
+
+
+def make_owner(repeatable, log_current, writer):
+    """Return an owner that tries for a hall where the log has a running gang."""
+    job = JobSpec("job", "ann", members=2, accelerators=8, repeatable=repeatable)
+    keeper = StateKeeper(10)
+    keeper.state.next_offset = 5
+    keeper.state.jobs["job"] = JobEntry(
+        job, 0, JobState.PLACED, "h", attempt=1, workers=NAMES
+    )
+    owner = HallOwner(
+        "i0/1",
+        "h",
+        LeaseTerms(),
+        SchedulingPolicy(),
+        keeper,
+        writer,
+        LogFollower(log_current),
+        0.1,
+        lambda: True,
+    )
+    workers = tuple(
+        Instance("worker", name, "h", f"{name}:1", rack="r0", accelerators=8)
+        for name in NAMES
+    )
+    owner.take_list(InstanceList(1, workers))
+    owner._links = {name: RecordingLink() for name in NAMES}
+    return owner
+
+
+def make_answer(name, now_s, tasks):
+    reply = LeaseReply(True, "i0/1", EPOCH, 3.0, tasks)
+    return LeaseAnswer(name, EPOCH, now_s, reply)
+
+
+@pytest.mark.parametrize(
+    ("repeatable", "log_current"), [(True, False), (True, True), (False, True)]
+)
+async def test_a_gang_in_the_reports_that_bring_the_majority_runs_on(
+    repeatable, log_current
+):
+    writer = RecordingWriter()
+    owner = make_owner(repeatable, log_current, writer)
+    links = list(owner._links.values())
+    now_s = asyncio.get_running_loop().time()
+    owner.tenure.begin(now_s)
+    for index, name in enumerate(NAMES):
+        task = TaskReport("job", 1, index, TaskState.RUNNING, 255, 1.0)
+        owner._inbox.append(make_answer(name, now_s, (task,)))
+    await owner._tick(now_s)
+    await asyncio.sleep(0.01)
+    await owner._tick(now_s + 0.1)
+    job = owner.scheduler.jobs["job"]
+    await owner.close()
+    assert writer.records == [JobPlaced("job", "h", 1, NAMES)]
+    assert [link.sent for link in links] == [[], []]
+    assert job.phase is JobPhase.ACTIVE
+    assert {place.worker for place in job.current.get_places()} == set(NAMES)
+
+
+async def test_a_gang_that_no_worker_reports_is_placed_anew():
+    # The other way round: both workers answered under this tenure and run nothing.
+    writer = RecordingWriter()
+    owner = make_owner(True, False, writer)
+    now_s = asyncio.get_running_loop().time()
+    owner.tenure.begin(now_s)
+    for name in NAMES:
+        owner._inbox.append(make_answer(name, now_s, ()))
+    await owner._tick(now_s)
+    await owner.close()
+    assert "JobRequeued" in [type(record).__name__ for record in writer.records]
+
+
+async def test_a_report_given_before_the_majority_counts_as_long_as_the_lease():
+    # One worker's answer comes a second before the other one's: half of the leases
+    # is no majority, and the answer that brings it finds the first report in force.
+    writer = RecordingWriter()
+    owner = make_owner(True, False, writer)
+    now_s = asyncio.get_running_loop().time()
+    owner.tenure.begin(now_s)
+    for index, name in enumerate(NAMES):
+        task = TaskReport("job", 1, index, TaskState.RUNNING, 255, 1.0)
+        owner._inbox.append(make_answer(name, now_s + index, (task,)))
+        await owner._tick(now_s + index)
+    job = owner.scheduler.jobs["job"]
+    await owner.close()
+    assert writer.records == [JobPlaced("job", "h", 1, NAMES)]
+    assert job.phase is JobPhase.ACTIVE
