Recover jobs from every report given under the tenure's leases

Cause: the reports that came with the grants that bring the majority were dropped, since the scheduler that kept them was made only afterwards. A tenure that holds all workers counts as settled, so recovery ran in the same tick without any report and took running jobs as gone: a second attempt of a repeatable gang beside the first, or the end of another one.

Change: the tenure keeps each worker's report with the lease that it came with, and starts without any; the scheduler keeps none and is given them for recovery. A worker is held only by an answer to this tenure, so that a job counts as gone only after each worker has reported or must have stopped. `recover_jobs` is one function for the owner and for the machine of the promises, which had imitated the drop.

Open: a job that comes to the log's state after the first look at it, already placed, is still taken as waiting.

--- a/src/larkhoist/daemon/hall_owner.py
+++ b/src/larkhoist/daemon/hall_owner.py
@@ -18,7 +18,7 @@
 from larkhoist.log.records import JobClaimed
 from larkhoist.log.state import JobEntry, JobState
 from larkhoist.ownership.order import order_instances
-from larkhoist.ownership.roster import ListedWorker, match_workers
+from larkhoist.ownership.roster import ListedWorker, match_workers, recover_jobs
 from larkhoist.ownership.tenure import LeaseTerms, Tenure
 from larkhoist.placement.fragmentation import EXPECTED_MIX, get_fragmentation
 from larkhoist.ports.platform import Instance, InstanceList
@@ -237,10 +237,8 @@
         changed = self._synced_offset != self._keeper.state.next_offset
         if changed or self._waits_to_claim:
             self._sync_jobs(now_s)
-        if scheduler.has_recovering() and self.tenure.is_settled(now_s):
-            effects = scheduler.recover(
-                self._log_current, lambda name: self.tenure.is_known(name, now_s), now_s
-            )
+        if scheduler.has_recovering():
+            effects = recover_jobs(scheduler, self.tenure, self._log_current, now_s)
             self._carry_out(effects, now_s)
             if not scheduler.has_recovering():
                 log_event(_logger, "hall-recovered", jobs=len(scheduler.jobs))
--- a/src/larkhoist/ownership/roster.py
+++ b/src/larkhoist/ownership/roster.py
@@ -4,9 +4,10 @@
 from dataclasses import dataclass
 
 from larkhoist.ownership.tenure import Tenure
+from larkhoist.scheduling.effect import Effect
 from larkhoist.scheduling.hall import HallScheduler
 
-__all__ = ["ListedWorker", "match_workers"]
+__all__ = ["ListedWorker", "match_workers", "recover_jobs"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,3 +42,20 @@
         scheduler.set_usable(name, held and not worker.leaving)
         if not held and tenure.is_surely_idle(name, now_s):
             scheduler.note_idle(name)
+
+
+def recover_jobs(
+    scheduler: HallScheduler, tenure: Tenure, log_current: bool, now_s: float
+) -> list[Effect]:
+    """Take over what runs once every worker has reported or must be idle.
+
+    A worker is held only by an answer to this tenure, which brings its report.
+    """
+    if not scheduler.has_recovering() or not tenure.is_settled(now_s):
+        return []
+    return scheduler.recover(
+        tenure.get_reports(),
+        log_current,
+        lambda name: tenure.is_known(name, now_s),
+        now_s,
+    )
--- a/src/larkhoist/ownership/tenure.py
+++ b/src/larkhoist/ownership/tenure.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from larkhoist.ports.worker import LeaseReply
+from larkhoist.ports.worker import LeaseReply, TaskReport
 
 __all__ = ["LeaseTerms", "Tenure", "WorkerLease", "WorkerLink"]
 
@@ -48,7 +48,8 @@
 
     ``epoch`` rises above the tenure's where the worker has seen a higher one or
     has let our own lease lapse. ``renewing_s`` is when the last request left that,
-    granted or not heard of, lets the worker's tasks go on.
+    granted or not heard of, lets the worker's tasks go on. ``tasks`` is the report
+    that came with the last grant in this tenure.
     """
 
     epoch: int
@@ -56,6 +57,7 @@
     until_s: float = 0.0
     renewing_s: float | None = None
     answered_s: float | None = None
+    tasks: tuple[TaskReport, ...] = ()
 
 
 @dataclass(slots=True)
@@ -143,6 +145,7 @@
             lease.link = WorkerLink.HELD
             lease.until_s = sent_s + self.terms.term_s
             lease.answered_s = sent_s
+            lease.tasks = reply.tasks
         else:
             lease.link = WorkerLink.REFUSED
             lease.epoch = max(lease.epoch, reply.epoch + 1)
@@ -218,3 +221,9 @@
     def is_known(self, name: str, now_s: float) -> bool:
         """Tell whether a worker is held or must have stopped its tasks."""
         return self.holds(name, now_s) or self.is_surely_idle(name, now_s)
+
+    def get_reports(self) -> dict[str, tuple[TaskReport, ...]]:
+        """Return what each worker reported last in this tenure."""
+        # Also what was given before the majority counts: no earlier owner can
+        # command a worker once it has granted the lease to this one.
+        return {name: lease.tasks for name, lease in self.workers.items()}
--- a/src/larkhoist/scheduling/hall.py
+++ b/src/larkhoist/scheduling/hall.py
@@ -44,7 +44,6 @@
         self._guarantees = GuaranteeBook(hall, self.accelerators.firm)
         self.learner = RuntimeLearner()
         self.quarantine = Quarantine()
-        self._reports: dict[str, tuple[TaskReport, ...]] = {}
         self._on_worker: dict[str, set[str]] = defaultdict(set)
         self._touched: set[str] = set()
         self._waiting: set[str] = set()
@@ -63,7 +62,6 @@
         self.note_idle(name)
         self.accelerators.remove_worker(name)
         del self._usable[name]
-        self._reports.pop(name, None)
 
     def set_usable(self, name: str, usable: bool) -> None:
         """Let new work go to a worker, or keep it away."""
@@ -124,7 +122,6 @@
 
     def note_report(self, worker: str, tasks: tuple[TaskReport, ...]) -> list[Effect]:
         """Take a worker's full report; return what to do about stray tasks."""
-        self._reports[worker] = tasks
         by_attempt: dict[tuple[str, int], dict[int, TaskReport]] = defaultdict(dict)
         for task in tasks:
             by_attempt[(task.job_id, task.attempt)][task.member] = task
@@ -142,10 +139,17 @@
             self._touched.add(job_id)
 
     def recover(
-        self, log_current: bool, is_known: Callable[[str], bool], now_s: float
+        self,
+        reports: Mapping[str, tuple[TaskReport, ...]],
+        log_current: bool,
+        is_known: Callable[[str], bool],
+        now_s: float,
     ) -> list[Effect]:
         """Take over what runs, once every worker is known (a settled tenure).
 
+        ``reports`` holds the last one of each worker that has answered in this
+        tenure: a job that is in none of them counts as gone.
+
         What is not repeatable waits until the log was read to its end in this
         tenure (``log_current``): an earlier owner may have started it. A job that
         the log has on a worker that is not known, since it left the list, waits
@@ -158,7 +162,7 @@
             if not log_current and not job.spec.repeatable:
                 continue
             if all(map(is_known, job.placed_workers)):
-                effects += self._recover_job(job, now_s)
+                effects += self._recover_job(job, reports, now_s)
         return effects
 
     def has_recovering(self) -> bool:
@@ -313,8 +317,8 @@
                 effects.append(Send(worker, command))
         return effects
 
-    def _recover_job(self, job: HallJob, now_s: float) -> list[Effect]:
-        found = find_newest_attempt(job.spec, self._reports)
+    def _recover_job(self, job: HallJob, reports, now_s: float) -> list[Effect]:
+        found = find_newest_attempt(job.spec, reports)
         newest = found.number
         job.attempt = max(job.attempt, newest)
         if newest < job.attempt:
--- a/tests/promises/hall_machine.py
+++ b/tests/promises/hall_machine.py
@@ -10,7 +10,7 @@
 from larkhoist.log.objects import CustomerSpec, JobSpec
 from larkhoist.log.records import Batch, JobCancelled, JobClaimed, JobPut, Record
 from larkhoist.log.state import ClusterState, JobState
-from larkhoist.ownership.roster import ListedWorker, match_workers
+from larkhoist.ownership.roster import ListedWorker, match_workers, recover_jobs
 from larkhoist.ownership.tenure import LeaseTerms, Tenure
 from larkhoist.ports.worker import CommandRequest, LeaseRequest, TaskCommand
 from larkhoist.scheduling.effect import Append, Send
@@ -226,13 +226,8 @@
         scheduler, tenure = owner.scheduler, owner.tenure
         match_workers(scheduler, tenure, self.listed, self.now_s)
         self._sync(owner, recovering=False)
-        if scheduler.has_recovering() and tenure.is_settled(self.now_s):
-            effects = scheduler.recover(
-                not self.log_down,
-                lambda name: tenure.is_known(name, self.now_s),
-                self.now_s,
-            )
-            self._take_effects(owner, effects)
+        effects = recover_jobs(scheduler, tenure, not self.log_down, self.now_s)
+        self._take_effects(owner, effects)
         self._take_effects(owner, scheduler.decide(self.now_s))
 
     def _sync(self, owner: Owner, recovering: bool) -> None:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -6,7 +6,7 @@
 from larkhoist.membership.readiness import decide_candidacy, decide_ready
 from larkhoist.ownership.order import order_instances
 from larkhoist.ownership.tenure import LeaseTerms, Tenure
-from larkhoist.ports.worker import LeaseReply
+from larkhoist.ports.worker import LeaseReply, TaskReport, TaskState
 
 TERMS = LeaseTerms(term_s=3.0, task_term_s=10.0, lost_after_s=4.0, margin_s=0.5)
 NAMES = ("w0", "w1", "w2", "w3")
@@ -146,3 +146,15 @@
 def test_terms_leave_time_to_take_over():
     terms = LeaseTerms()
     assert terms.task_term_s > terms.term_s * 2 + terms.renew_s
+
+
+def test_a_report_counts_in_its_own_tenure_alone():
+    # A report is proof of what runs only until another owner may have commanded the
+    # worker: the next tenure starts without any.
+    tenure = make_tenure()
+    task = TaskReport("job", 1, 0, TaskState.RUNNING, 1)
+    reply = LeaseReply(True, "me", tenure.get_epoch("w0"), 3.0, (task,))
+    tenure.note_reply("w0", 0.0, reply)
+    assert tenure.get_reports()["w0"] == (task,)
+    tenure.begin(1.0)
+    assert tenure.get_reports()["w0"] == ()
