--- a/tests/control/test_tenure_keeper.py
+++ b/tests/control/test_tenure_keeper.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from larkhoist.codes import Code
 from larkhoist.control.tenure_keeper import TenureKeeper
 from larkhoist.ownership.log_tenure import (
     TenureRecord,
@@ -194,3 +195,25 @@
     tried = log.appends - appends
     assert tried <= len(log.streams["tenure"]) - renewals + 1
     assert [name for name, term in keepers.terms if term] == ["a"]
+
+
+async def test_a_tenure_that_can_not_be_read_is_logged_once_each_time(caplog):
+    # The log answered reads of the tenure's stream with what could not be decoded:
+    # the instance did not claim, look after look, and never said why.
+    log = MemoryLog()
+    keeper = TenureKeeper(log, "one", QUICK, lambda: False, lambda _: None)
+    with caplog.at_level("INFO"):
+        await keeper.start()
+        for down in (False, True, False, True):
+            log.down = down
+            await wait_for_reads(log, 3)
+        await keeper.close()
+    lines = [r for r in caplog.records if r.message == "tenure-unread"]
+    assert [line.fields["reason"].code for line in lines] == [Code.LOG_UNAVAILABLE] * 2
+
+
+async def wait_for_reads(log: MemoryLog, more: int) -> None:
+    wanted = log.reads + more
+    async with asyncio.timeout(5):
+        while log.reads < wanted:
+            await asyncio.sleep(0.005)
