Log the first read of a row in which the tenure could not be read

Cause: a failed look at the tenure's stream was noted and not logged, whatever the reason: an instance that could not read it neither claimed nor said why. Change: `tenure-unread` with the problem, once until a look succeeds.

--- a/src/larkhoist/control/tenure_keeper.py
+++ b/src/larkhoist/control/tenure_keeper.py
@@ -22,6 +22,7 @@
     decide_step,
 )
 from larkhoist.ports.keyed_log import AtEnd, KeyedLogPort, KeyedRecord, StoredRecord
+from larkhoist.problem import Problem
 
 __all__ = ["TenureKeeper"]
 
@@ -53,6 +54,7 @@
         self._on_change = on_change
         self._view = TenureView()
         self._loaded = False
+        self._unread = False
         self._answer_times = create_answer_times()
         self._first_pause_share = random.random()
         self._task: asyncio.Task | None = None
@@ -176,12 +178,26 @@
             case Success(page):
                 is_first = not self._loaded and self._view.newest is None
                 self._loaded = True
+                self._unread = False
                 self._take_records(page.end, page.records, asked_s)
                 if is_first:
                     self._view.inherited = self._is_predecessor()
             case Failure(problem):
                 self._loaded &= problem.code is not Code.HISTORY_GONE
                 self._view.note_failed_read()
+                self._note_unread(problem)
+
+    def _note_unread(self, problem: Problem) -> None:
+        """Log the first failed read of a row; reads go on."""
+        if not self._unread:
+            self._unread = True
+            log_event(
+                _logger,
+                "tenure-unread",
+                logging.WARNING,
+                end=self._view.end,
+                reason=problem,
+            )
 
     def _take_records(
         self, end: int, records: tuple[StoredRecord, ...], asked_s: float
