Compare the request's id before a refusal counts

Cause: `Larkhoist-Not-Run` was read before the answer's request id was compared. On a connection that is used again, a late or doubled refusal of one request counted as the answer to the next one, which ran: told as not run, sent again elsewhere though it may not be repeated.

A refusal without an id still counts on a new connection, which carries one request; on one that is used again it is a mismatch, since such services state that they return the id.

Conclusion: a refusal counts only for the request that it names. An upstream that returns ids but not with refusals now gets 'may have run' for them: safe, and less useful.

--- a/src/larkhoist/adapters/upstream.py
+++ b/src/larkhoist/adapters/upstream.py
@@ -86,10 +86,6 @@
             allow_redirects=False,
             trace_request_ctx=progress,
         ) as response:
-            if response.headers.get(NOT_RUN_HEADER) == "1":
-                return SendResult(
-                    Code.UPSTREAM_REFUSED, retry_after_s=_get_retry_after(response)
-                )
             return await _read_answer(response, request)
 
 
@@ -123,6 +119,10 @@
     if returned_id != request.request_id and (request.reuse or returned_id):
         response.close()
         return SendResult(Code.ANSWER_MISMATCH)
+    # Only now: a refusal of another request says nothing of this one.
+    if response.headers.get(NOT_RUN_HEADER) == "1":
+        retry_after_s = _get_retry_after(response)
+        return SendResult(Code.UPSTREAM_REFUSED, retry_after_s=retry_after_s)
     if not has_end:
         # The end of such an answer cannot be told from a cut.
         response.close()
--- a/src/larkhoist/log/objects.py
+++ b/src/larkhoist/log/objects.py
@@ -37,7 +37,7 @@
     """Describe one service of small requests.
 
     ``echoes_request_id`` states that its upstreams return the header
-    ``Larkhoist-Request-Id``; only then are connections used again.
+    ``Larkhoist-Request-Id``, with refusals too; only then are connections used again.
     """
 
     name: str
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -54,7 +54,7 @@
         """Run one request and answer it, unless a fault says otherwise."""
         self.received += 1
         if self._use_fault("refuse") or self.in_flight >= self.connections:
-            headers = {NOT_RUN_HEADER: "1", "Retry-After": "1"}
+            headers = {NOT_RUN_HEADER: "1", "Retry-After": "1", **self._echo(request)}
             return web.Response(status=503, headers=headers)
         if self._use_fault("reset_before_run"):
             request.transport.abort()
@@ -84,9 +84,7 @@
         answer = msgspec.json.encode(
             {"runner": self.name, "marker": body.get("marker", "")}
         )
-        headers = {}
-        if self.faults.echo and REQUEST_ID_HEADER in request.headers:
-            headers[REQUEST_ID_HEADER] = request.headers[REQUEST_ID_HEADER]
+        headers = self._echo(request)
         if self._use_fault("truncate"):
             response = web.StreamResponse(headers=headers)
             response.content_length = len(answer)
@@ -102,6 +100,11 @@
             loop.call_later(0.01, self._write_again, request.transport, answer)
         return response
 
+    def _echo(self, request: web.Request) -> dict[str, str]:
+        if not self.faults.echo or REQUEST_ID_HEADER not in request.headers:
+            return {}
+        return {REQUEST_ID_HEADER: request.headers[REQUEST_ID_HEADER]}
+
     def _write_again(self, transport, answer: bytes) -> None:
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(answer)}\r\n\r\n"
         if transport is not None and not transport.is_closing():
