Show that an upstream off the list loses count of its requests

Two of these three tests fail: an upstream that comes back has none in flight, and one whose request ends meanwhile loses the other one. The third checks that nothing is left of an upstream that went for good.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -219,3 +219,48 @@
     limit_s = CLAIM_WINDOW_MS / 2000
     assert check_claim_age(0.0, limit_s) is None
     assert check_claim_age(0.0, limit_s + 1).code is Code.CLAIM_TOO_OLD
+
+
+def test_an_upstream_that_comes_back_on_the_list_still_has_its_requests():
+    # An upstream with two requests in flight went off the list and came back: it
+    # counted none, took two too many, and its load fell below zero as the first ones
+    # ended.
+    upstreams = make_set(count=1, slots=2)
+    assert take(upstreams, 2) == ["u0", "u0"]
+    upstreams.remove("u0")
+    upstreams.put("u0", 2, 1.0)
+    assert upstreams.get_own() == {"u0": 2}
+    assert take(upstreams, 1, 1000.0) == [None]
+    upstreams.finish("u0", True, 1000.0)
+    assert take(upstreams, 2, 1000.0) == ["u0", None]
+    for _ in range(2):
+        upstreams.finish("u0", True, 1001.0)
+    assert upstreams.get_own() == {}
+
+
+def test_requests_that_end_while_their_upstream_is_off_the_list_count_no_more():
+    # One of two requests ended while the upstream was off the list; its end was not
+    # counted, and the other one was not seen by anybody until the upstream came back.
+    upstreams = make_set(count=1, slots=2)
+    take(upstreams, 2)
+    upstreams.remove("u0")
+    upstreams.finish("u0", True, 0.5)
+    assert upstreams.names() == []
+    assert upstreams.get_own() == {"u0": 1}
+    upstreams.remove("u0")
+    upstreams.put("u0", 2, 1.0)
+    assert upstreams.get_own() == {"u0": 1}
+    assert take(upstreams, 2, 1000.0) == ["u0", None]
+
+
+def test_an_upstream_that_went_for_good_leaves_nothing_behind():
+    upstreams = make_set(count=1, slots=2)
+    take(upstreams, 1)
+    upstreams.remove("u0")
+    upstreams.finish("u0", False, 0.5)
+    upstreams.finish("u0", False, 0.5)
+    assert upstreams.get_own() == {}
+    assert upstreams.count_ejected() == 0
+    upstreams.put("u0", 2, 1.0)
+    assert upstreams.get_own() == {}
+    assert take(upstreams, 3, 1000.0) == ["u0", "u0", None]
