Keep count of requests at upstreams that are off the list

Cause: an upstream taken off the list lost its requests in flight, which go on. Back on the list it took as many again, and its load fell below zero as the first ones ended.

Change: the count is kept until the requests have ended, is shown with the others, and is taken up when the upstream comes back.

Conclusion: that an upstream is off the list ends none of its requests.

--- a/src/larkhoist/requests/upstream_set.py
+++ b/src/larkhoist/requests/upstream_set.py
@@ -40,6 +40,7 @@
     def __init__(self, policy: RequestPolicy):
         self._policy = policy
         self._upstreams: dict[str, _Upstream] = {}
+        self._off_list: dict[str, int] = {}
         self._buckets: list[SortedSet] = []
         self._ejected: dict[str, float] = {}
         self._starting: set[str] = set()
@@ -49,7 +50,8 @@
         """Add an upstream, or change its slots."""
         upstream = self._upstreams.get(name)
         if upstream is None:
-            upstream = _Upstream(name, self._next_rank, slots, ceiling=slots)
+            own = self._off_list.pop(name, 0)
+            upstream = _Upstream(name, self._next_rank, slots, own, ceiling=slots)
             self._next_rank += 1
             self._upstreams[name] = upstream
         upstream.slots = slots
@@ -64,9 +66,12 @@
             self._list(upstream, now_s)
 
     def remove(self, name: str) -> None:
-        """Take an upstream out."""
+        """Take an upstream out; what is in flight there goes on."""
         upstream = self._upstreams.pop(name, None)
         if upstream is not None:
+            # That it is off the list ends none of its requests.
+            if upstream.own:
+                self._off_list[name] = upstream.own
             self._unlist(upstream)
             self._ejected.pop(name, None)
             self._starting.discard(name)
@@ -90,8 +95,12 @@
         return list(self._upstreams)
 
     def get_own(self) -> dict[str, int]:
-        """Return this instance's requests in flight by upstream, without zeros."""
-        return {u.name: u.own for u in self._upstreams.values() if u.own}
+        """Return this instance's requests in flight by upstream, without zeros.
+
+        Upstreams that were taken out count until their requests have ended.
+        """
+        listed = {u.name: u.own for u in self._upstreams.values() if u.own}
+        return self._off_list | listed
 
     def choose(self, now_s: float, avoid: frozenset[str] = frozenset()) -> str | None:
         """Return the upstream for the next request, or None where all are full."""
@@ -118,6 +127,7 @@
         """Count a request that ended; eject an upstream that keeps failing."""
         upstream = self._upstreams.get(name)
         if upstream is None:
+            self._finish_off_list(name)
             return
         upstream.own -= 1
         if well:
@@ -128,6 +138,11 @@
             self._eject(upstream, now_s)
         self._list(upstream, now_s)
 
+    def _finish_off_list(self, name: str) -> None:
+        left = self._off_list.pop(name, 0) - 1
+        if left > 0:
+            self._off_list[name] = left
+
     def count_slots(self) -> int:
         """Return the slots that requests may use at upstreams that stay."""
         return sum(
