Show that a job which the log tells of late is run beside itself

An owner whose reading of the log is behind when it gets the hall takes each job that comes later as one that never ran. Three tests fail (placed, repeatable and not; claimed and started); one that passes checks that a new job is still placed at once.

--- a/tests/test_hall_owner.py
+++ b/tests/test_hall_owner.py
@@ -19,7 +19,7 @@
 from larkhoist.log.state import JobEntry, JobState
 from larkhoist.ownership.tenure import LeaseTerms
 from larkhoist.ports.platform import Instance, InstanceList
-from larkhoist.ports.worker import LeaseReply, TaskReport, TaskState
+from larkhoist.ports.worker import LeaseReply, TaskReport, TaskState, Verb
 from larkhoist.scheduling.hall_job import JobPhase
 from larkhoist.scheduling.policy import SchedulingPolicy
 
@@ -54,20 +54,29 @@
     """Stand for a log that is read to its end at once, or does not answer yet."""
 
     def __init__(self, current):
-        self._current = current
+        self.current = current
 
     async def catch_up(self):
-        return self._current
+        return self.current
+
+
+def read_job(keeper, repeatable, state=JobState.PLACED):
+    """Let the log's state come to tell of the gang."""
+    job = JobSpec("job", "ann", members=2, accelerators=8, repeatable=repeatable)
+    workers = NAMES if state is JobState.PLACED else ()
+    keeper.state.next_offset += 5
+    keeper.state.jobs["job"] = JobEntry(job, 0, state, "h", attempt=1, workers=workers)
 
 
 def make_owner(repeatable, log_current, writer):
     """Return an owner that tries for a hall where the log has a running gang."""
-    job = JobSpec("job", "ann", members=2, accelerators=8, repeatable=repeatable)
     keeper = StateKeeper(10)
-    keeper.state.next_offset = 5
-    keeper.state.jobs["job"] = JobEntry(
-        job, 0, JobState.PLACED, "h", attempt=1, workers=NAMES
-    )
+    read_job(keeper, repeatable)
+    return make_owner_on(keeper, LogFollower(log_current), writer)
+
+
+def make_owner_on(keeper, follower, writer):
+    """Return an owner that tries for a hall by this state of the log."""
     owner = HallOwner(
         "i0/1",
         "h",
@@ -75,7 +84,7 @@
         SchedulingPolicy(),
         keeper,
         writer,
-        LogFollower(log_current),
+        follower,
         0.1,
         lambda: True,
     )
@@ -146,3 +155,68 @@
     await owner.close()
     assert writer.records == [JobPlaced("job", "h", 1, NAMES)]
     assert job.phase is JobPhase.ACTIVE
+
+
+@pytest.mark.parametrize(
+    ("repeatable", "state"),
+    [
+        (True, JobState.PLACED),
+        (False, JobState.PLACED),
+        # What is repeatable starts before the log has it as placed.
+        (True, JobState.CLAIMED),
+    ],
+)
+async def test_a_gang_that_the_log_tells_of_after_the_majority_runs_on(
+    repeatable, state
+):
+    # The successor's reading of the log was behind when it got the hall. The log told
+    # of the job a little later; the successor took it as one that had never run, and
+    # prepared the same attempt again while it ran.
+    writer = RecordingWriter()
+    keeper = StateKeeper(10)
+    follower = LogFollower(False)
+    owner = make_owner_on(keeper, follower, writer)
+    links = list(owner._links.values())
+    now_s = asyncio.get_running_loop().time()
+    owner.tenure.begin(now_s)
+    for _ in range(3):
+        for index, name in enumerate(NAMES):
+            task = TaskReport("job", 1, index, TaskState.RUNNING, 255, 1.0)
+            owner._inbox.append(make_answer(name, now_s, (task,)))
+        await owner._tick(now_s)
+        await asyncio.sleep(0.01)
+        now_s += 1.1
+    read_job(keeper, repeatable, state)
+    follower.current = True
+    for index, name in enumerate(NAMES):
+        task = TaskReport("job", 1, index, TaskState.RUNNING, 255, 1.0)
+        owner._inbox.append(make_answer(name, now_s, (task,)))
+    for _ in range(3):
+        await owner._tick(now_s)
+        await asyncio.sleep(0.01)
+        now_s += 0.6
+    job = owner.scheduler.jobs["job"]
+    await owner.close()
+    assert [link.sent for link in links] == [[], []]
+    assert writer.records == [JobPlaced("job", "h", 1, NAMES)]
+    assert job.phase is JobPhase.ACTIVE
+
+
+async def test_a_job_that_comes_once_the_log_was_read_is_placed_at_once():
+    # The other way round: what comes after the end of the log as it was in this tenure
+    # can't have run under an earlier owner.
+    keeper = StateKeeper(10)
+    owner = make_owner_on(keeper, LogFollower(True), RecordingWriter())
+    links = list(owner._links.values())
+    now_s = asyncio.get_running_loop().time()
+    owner.tenure.begin(now_s)
+    for name in NAMES:
+        owner._inbox.append(make_answer(name, now_s, ()))
+    for _ in range(2):
+        await owner._tick(now_s)
+        await asyncio.sleep(0.01)
+        now_s += 0.1
+    read_job(keeper, False, JobState.CLAIMED)
+    await owner._tick(now_s)
+    await owner.close()
+    assert [c.verb for link in links for c in link.sent] == [Verb.PREPARE] * 2
