Recover each job that the log told of before its end was read

Cause: only the jobs known at the first look in a tenure were recovered. An owner whose reading of the log was behind took each one that came later as waiting, and prepared the attempt that ran already once more; with `placed` in the log also what is not repeatable.

Change: a job counts as one that may run until the owner has looked at the log's state after its end was read in this tenure. Recovery then asks the reports; a job that nobody runs is placed in the same tick, one that is not repeatable once the end was read.

--- a/src/larkhoist/daemon/hall_owner.py
+++ b/src/larkhoist/daemon/hall_owner.py
@@ -74,6 +74,7 @@
         self._next_catch_up_s = 0.0
         self._catching_up: asyncio.Task[bool] | None = None
         self._synced_offset: int | None = None
+        self._synced_current = False
         self._waits_to_claim = False
         self._task: asyncio.Task | None = None
         self._random = random.Random()
@@ -213,6 +214,7 @@
         self._log_current = False
         self._catching_up = None
         self._synced_offset = None
+        self._synced_current = False
         self._claimed.clear()
 
     async def _match_links(self) -> None:
@@ -247,8 +249,11 @@
     def _sync_jobs(self, now_s: float) -> None:
         state = self._keeper.state
         scheduler = self.scheduler
-        first = self._synced_offset is None
+        # An earlier owner may run any job that the log told of before its end was
+        # read in this tenure, however late this instance reads it.
+        recovering = not self._synced_current
         self._synced_offset = state.next_offset
+        self._synced_current = self._log_current
         self._waits_to_claim = False
         scheduler.set_customers(state.customers)
         for job_id, entry in state.jobs.items():
@@ -258,13 +263,15 @@
             elif entry.state is JobState.PENDING:
                 self._consider_claim(job_id, entry, now_s)
             elif entry.hall == self._hall:
-                self._sync_job(job_id, entry, first, now_s)
+                self._sync_job(job_id, entry, recovering, now_s)
 
-    def _sync_job(self, job_id, entry: JobEntry, first: bool, now_s: float) -> None:
+    def _sync_job(
+        self, job_id, entry: JobEntry, recovering: bool, now_s: float
+    ) -> None:
         scheduler = self.scheduler
         if job_id not in scheduler.jobs:
             age_s = max(0, self._keeper.state.log_ms - entry.submitted_ms) / 1000
-            scheduler.add_job(entry.spec, entry.attempt, now_s - age_s, first)
+            scheduler.add_job(entry.spec, entry.attempt, now_s - age_s, recovering)
             self._claimed.discard(job_id)
         if entry.state is JobState.PLACED:
             scheduler.note_placed(job_id, entry.attempt, entry.workers)
