Reach workers off the list by the address that the log keeps

Cause: a successor knew a worker that had gone off the list by name alone: it could neither stop a task there nor keep up its lease, so that a task whose job was cancelled ran on until its lease ended, and others lapsed. Change: progress keeps the address beside the worker's name, and an owner opens a session by it; a worker that comes back on the list keeps what is known of it.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -314,18 +314,25 @@
 
     def _match_sessions(self) -> None:
         for name, heard in self._roster.workers.items():
-            if name not in self._sessions:
-                session = WorkerSession(
-                    name,
-                    self._create_port(name, heard.entry.address),
-                    self.term,
-                    self._times,
-                    WorkerClock(heard.entry.clock_ms, heard.heard_s),
-                    self._grant_lease,
-                    self._tell,
-                )
-                self._sessions[name] = session
-                self._spawn(session.start())
+            clock = WorkerClock(heard.entry.clock_ms, heard.heard_s)
+            self._open_session(name, heard.entry.address, clock)
+        for worker in self.scheduler.list_unlisted():
+            self._open_session(worker.name, worker.address, WorkerClock())
+
+    def _open_session(self, name: str, address: str, clock: WorkerClock) -> None:
+        if name in self._sessions:
+            return
+        session = WorkerSession(
+            name,
+            self._create_port(name, address),
+            self.term,
+            self._times,
+            clock,
+            self._grant_lease,
+            self._tell,
+        )
+        self._sessions[name] = session
+        self._spawn(session.start())
 
     def _update_sessions(self) -> None:
         workers = self.scheduler.state.workers
--- a/src/larkhoist/control/worker_clock.py
+++ b/src/larkhoist/control/worker_clock.py
@@ -19,8 +19,8 @@
     600 s where 6.1 s are counted on.
     """
 
-    clock_ms: int
-    heard_s: float
+    clock_ms: int | None = None
+    heard_s: float = float("-inf")
 
     def take(self, clock_ms: int, now_s: float) -> None:
         """Take the clock that an answer told which was read by ``now_s``."""
@@ -31,7 +31,12 @@
         """Return how long ago the clock was heard of."""
         return now_s - self.heard_s
 
-    def get_lease_until_ms(self, now_s: float, lease_s: float) -> int:
-        """Return when a lease ends, on the worker's clock, that begins now."""
+    def get_lease_until_ms(self, now_s: float, lease_s: float) -> int | None:
+        """Return when a lease ends, on the worker's clock, that begins now.
+
+        None means that the clock was never heard of.
+        """
+        if self.clock_ms is None:
+            return None
         passed_s = max(0.0, now_s - self.heard_s) * (1 - CLOCK_DRIFT)
         return int(self.clock_ms + 1000 * (passed_s + lease_s))
--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -226,12 +226,15 @@
             lease_s = self._grant_lease(self._name, now_s)
             if lease_s is None:
                 break
+            lease_until_ms = self._clock.get_lease_until_ms(now_s, lease_s)
+            if lease_until_ms is None:
+                break
             result = await self._port.start_task(
                 StartOrder(
                     order.task,
                     order.attempt,
                     order.payload,
-                    self._clock.get_lease_until_ms(now_s, lease_s),
+                    lease_until_ms,
                     self._token,
                     order.checkpoint,
                 )
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -76,7 +76,7 @@
         for progress in entry.phases.values():
             for task in progress.tasks:
                 if task.worker and task.worker not in self.state.workers:
-                    self._add_unlisted(task.worker)
+                    self._add_unlisted(task.worker, task.address)
         active = self.state.add_job(entry, now_s, now_ms)
         self.state.close_broken_gangs(active, now_s)
         if active.ended:
@@ -125,6 +125,8 @@
         found.silent = True
         self.state.changed = True
         self.state.note("worker-silent", worker=worker, tasks=len(found.tasks))
+        if not found.hall:
+            return
         if self.state.doubts.note_silent(found.hall, worker, asked_s):
             self._doubt(found.hall)
 
@@ -215,6 +217,11 @@
             place_waiting(state, self._guarantees, now_s)
         return state.take_round()
 
+    def list_unlisted(self) -> list[FleetWorker]:
+        """Return the workers off the list that can be reached by their address."""
+        workers = self.state.workers.values()
+        return [w for w in workers if not w.listed and w.address]
+
     def get_next_due_s(self, now_s: float) -> float:
         """Return when the next run of a scheduled job falls due."""
         due = [
@@ -265,14 +272,13 @@
     # The list of workers.
 
     def _add_worker(self, entry: ListedTaskWorker, now_s: float) -> None:
-        kept = self.state.workers.get(entry.name)
-        inherited_s = self._began_s + self._get_inherited_s()
-        worker = create_worker(entry, inherited_s)
-        if kept is not None:
-            worker.use(kept.used)
-            worker.tasks = kept.tasks
-            worker.seen = kept.seen
-        self.state.workers[entry.name] = worker
+        worker = self.state.workers.get(entry.name)
+        if worker is None:
+            inherited_s = self._began_s + self._get_inherited_s()
+            worker = create_worker(entry, inherited_s)
+            self.state.workers[entry.name] = worker
+        else:
+            worker.take_entry(entry)
         self._update_worker(worker, entry, now_s)
         self.state.note("worker-listed", worker=entry.name, rack=entry.rack)
 
@@ -315,12 +321,20 @@
         worker.unlisted_s = now_s
         self.state.changed = True
 
-    def _add_unlisted(self, name: str) -> None:
-        # The log names a worker that is not listed: only time tells that its
-        # tasks are over.
-        lease_end_s = self._began_s + self._get_inherited_s()
+    def _add_unlisted(self, name: str, address: str) -> None:
+        # The log names a worker that is not listed: its own word or time tells
+        # that its tasks are over.
         self.state.workers[name] = FleetWorker(
-            name, "", "", "", frozenset(), Resources(), lease_end_s, listed=False
+            name,
+            "",
+            "",
+            "",
+            frozenset(),
+            Resources(),
+            self._began_s + self._get_inherited_s(),
+            address,
+            listed=False,
+            unlisted_s=self._began_s,
         )
 
     def _get_inherited_s(self) -> float:
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -264,8 +264,9 @@
                 self._occupy(phase, task, task.worker)
 
     def _occupy(self, phase: Phase, task: Task, name: str) -> None:
-        task.worker = name
         worker = self.workers[name]
+        task.worker = name
+        task.address = worker.address
         worker.tasks.add(task.name)
         worker.use(phase.need)
 
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -42,6 +42,7 @@
     state: TaskState = TaskState.WAITING
     attempt: int = 0
     worker: str = ""
+    address: str = ""
     failures: int = 0
     checkpoint: str = ""
     began_s: float = 0.0
@@ -129,6 +130,7 @@
                     task.state is TaskState.DONE,
                     task.failures,
                     task.checkpoint,
+                    task.address if task.is_on_worker else "",
                 )
                 for task in self.tasks
             ),
@@ -205,3 +207,4 @@
     elif kept.worker:
         task.state = TaskState.RUNNING
         task.worker = kept.worker
+        task.address = kept.address
--- a/src/larkhoist/fleet/worker.py
+++ b/src/larkhoist/fleet/worker.py
@@ -26,6 +26,7 @@
     labels: frozenset[str]
     capacity: Resources
     lease_end_s: float
+    address: str = ""
     listed: bool = True
     leaving: bool = False
     leaves_s: float | None = None
@@ -45,6 +46,16 @@
     def __post_init__(self):
         self.free = self.capacity
 
+    def take_entry(self, listed: ListedTaskWorker) -> None:
+        """Take over what the list tells of a worker that was known by name alone."""
+        self.service = listed.service
+        self.hall = listed.hall
+        self.rack = listed.rack
+        self.labels = listed.labels
+        self.capacity = listed.capacity
+        self.address = listed.address
+        self.free = self.capacity - self.used
+
     def use(self, need: Resources) -> None:
         """Take room for a task that may run."""
         self.used += need
@@ -90,4 +101,5 @@
         listed.labels,
         listed.capacity,
         lease_end_s,
+        listed.address,
     )
--- a/src/larkhoist/jobs/records.py
+++ b/src/larkhoist/jobs/records.py
@@ -67,7 +67,8 @@
 
     ``worker`` is where the attempt may run, empty where none may; ``failures``
     counts attempts that ended as failed; ``checkpoint`` is where the next attempt
-    goes on.
+    goes on. ``address`` reaches the worker when it is off the platform's list: without
+    it a successor could neither stop a task there nor keep up its lease.
     """
 
     attempt: int = 0
@@ -75,6 +76,7 @@
     done: bool = False
     failures: int = 0
     checkpoint: str = ""
+    address: str = ""
 
 
 class PhaseProgress(msgspec.Struct, frozen=True, tag="p"):
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -281,12 +281,12 @@
 
     def _match_sessions(self, owner: _Owner) -> None:
         for entry in self._read_list:
-            if entry.name not in owner.sessions:
-                owner.sessions[entry.name] = _Session(
-                    entry.name,
-                    entry.address,
-                    WorkerClock(entry.clock_ms, self._read_s),
-                )
+            clock = WorkerClock(entry.clock_ms, self._read_s)
+            session = _Session(entry.name, entry.address, clock)
+            owner.sessions.setdefault(entry.name, session)
+        for worker in owner.scheduler.list_unlisted():
+            session = _Session(worker.name, worker.address, WorkerClock())
+            owner.sessions.setdefault(worker.name, session)
 
     def _update_sessions(self, owner: _Owner) -> None:
         workers = owner.scheduler.state.workers
