Forget a replaced worker for good; give instances ports of their own range

Cause: the entry of a worker whose address another life has outlives it, and each look at the list opened a session to it anew, one call and one refusal each. A proof on processes failed once because a port that had been free was taken by an outgoing connection before the instance listened there. Change: a replaced name is passed over until its entry goes; ports of instances lie below those that outgoing connections are given.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -4,8 +4,10 @@
 """
 
 import asyncio
+import itertools
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -26,6 +28,9 @@
     "wait_for",
 ]
 
+INSTANCE_PORTS = range(20_000, 30_000)
+"""Below the ports that outgoing connections are given (Linux: from 32,768): a port
+that was free may be taken by one of them before the instance listens there."""
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 SERVICE = "main"
@@ -417,15 +422,19 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind(("127.0.0.1", 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+    """Return ports that are free now and that no outgoing connection is given."""
+    candidates = random.sample(INSTANCE_PORTS, len(INSTANCE_PORTS))
+    free = (port for port in candidates if _is_free(port))
+    return list(itertools.islice(free, count))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def create_cluster(
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -44,6 +44,7 @@
         self._began_s = began_s
         self._look_s = float("-inf")
         self._taken: set[str] = set()
+        self._replaced: set[str] = set()
 
     # What the scheduler is told.
 
@@ -58,11 +59,15 @@
         names = set()
         for entry in listed:
             names.add(entry.name)
+            if entry.name in self._replaced:
+                # The entry outlives the worker; each look would ask it again.
+                continue
             worker = workers.get(entry.name)
             if worker is None or not worker.service:
                 self._add_worker(entry, now_s)
             else:
                 self._update_worker(worker, entry, now_s)
+        self._replaced &= names
         for name, worker in workers.items():
             if name not in names and worker.listed:
                 self._unlist(worker, now_s)
@@ -190,6 +195,7 @@
         found = self.state.workers.get(worker)
         if found is not None:
             found.listed = False
+            self._replaced.add(worker)
             take_worker_gone(self.state, found, WorkerReplaced(), now_s)
 
     def is_wanted(self, task: str, attempt: int) -> bool:
--- a/tests/fleet/test_proofs.py
+++ b/tests/fleet/test_proofs.py
@@ -198,3 +198,17 @@
     decided = decide(machine, machine.now_s)
     assert [stop.worker for stop in decided.stops] == ["w1"]
     assert not decided.starts
+
+
+def test_a_worker_whose_address_another_has_is_over_and_not_asked_again():
+    machine, job = submit_one()
+    (start,) = decide(machine, machine.now_s).starts
+    scheduler = machine.owner.scheduler
+    entries = machine._list_workers()
+    scheduler.note_replaced(start.worker, machine.now_s)
+    decided = decide(machine, machine.now_s)
+    assert get_proofs(decided) == ["worker_replaced"]
+    assert [again.task for again in decided.starts] == [start.task]
+    # Its entry is still on the list for a while.
+    scheduler.take_list(entries, machine.now_s + 1)
+    assert start.worker not in scheduler.state.workers
