--- a/tests/fleet/test_unlisted_workers.py
+++ b/tests/fleet/test_unlisted_workers.py
@@ -4,20 +4,25 @@
 ordered both runs, in time; the first was never told to stop, ended as done, and its
 end was acknowledged.
 
-Sequence: a worker said that it would leave and ran on; its entry went off the list
-(the store was down and entries lapsed, or the entry went before the process); the
-owner started the task elsewhere; the worker answered calls all the while, its entry
-came back, and the first run ended as done.
-
-Cause: that an entry is gone was taken as proof that nothing runs there.
-
-What settled it, from an owner's log (seconds):
-    11.857 worker-unlisted worker=A leaving=True
-    11.857 worker-idle worker=A reason=left tasks=4
-    11.857 stray-stopped worker=A       the report read in the same step names the run
-    11.865 the second run begins on B
-    12.853 worker-listed worker=A       the entry is back
-    12.855 task-ended worker=A attempt=1 current=False
+Sequence: a worker said that it would leave and ran on; its entry went off the list,
+since entries lapsed with the list's keeper; the owner freed its tasks at once and
+started them elsewhere, where starts were refused, one every 16 ms, until one was
+taken; the first run ended as done; the entry came back, and that end was read and
+acknowledged, and thrown away as that of an old attempt.
+
+Cause: that the entry of a leaving worker is gone was taken as proof that nothing runs
+there.
+
+What settled it, from one owner's log (seconds), with the runs as the workers saw them:
+     4.452 run 3 begins on A
+     6.159 worker-leaving worker=A
+    12.691 worker-unlisted worker=A leaving=True; worker-idle worker=A reason=left
+    12.725 to 12.858 start-refused worker=B, nine times
+    12.868 run 13 begins on B
+    13.217 run 3 ends as done on A
+    13.480 worker-listed worker=A
+    13.487 task-ended worker=A attempt=3 how=done current=False
+Of 205 such cases none followed from any other evidence.
 """
 
 import dataclasses
