Ask again whether a start is wanted before each try; tell dropped starts apart

Cause: a session waits for a clock or between two tries and then sent a start that might not be wanted any more; one that was not sent was told as refused, so that its worker was paused and the log named a refusal; a start without an answer stopped what a report had shown running meanwhile. Change: each try asks whether the start is wanted; a dropped one has a message of its own; a running attempt counts as begun. Ends as done count in the metrics.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -19,6 +19,7 @@
     ReportAnswer,
     SessionTimes,
     StartAnswer,
+    StartDropped,
     StopAnswer,
     WorkerSession,
 )
@@ -329,6 +330,7 @@
             self._times,
             clock,
             self._grant_lease,
+            self._grant_start,
             self._tell,
         )
         self._sessions[name] = session
@@ -347,6 +349,12 @@
             return None
         return self.scheduler.grant_lease(worker, now_s)
 
+    def _grant_start(self, order: StartTask, now_s: float) -> float | None:
+        # The order may have waited, for a first answer or between two tries.
+        if not self.scheduler.is_wanted(order.task, order.attempt):
+            return None
+        return self._grant_lease(order.worker, now_s)
+
     def _tell(self, message: Message) -> None:
         self._inbox.append(message)
         self._wake.set()
@@ -363,6 +371,8 @@
                 if problem.code is Code.ORDER_REFUSED:
                     scheduler.note_refused(worker)
                 self._take_failed_call(worker, problem.code, now_s)
+            case StartDropped(_, task, attempt):
+                scheduler.note_never_sent(task, attempt, now_s)
             case StartAnswer(worker, task, attempt, code, may_act):
                 scheduler.take_start_answer(task, attempt, code, may_act, now_s)
                 if code is not None:
--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -22,10 +22,12 @@
 
 __all__ = [
     "GrantLease",
+    "GrantStart",
     "Message",
     "ReportAnswer",
     "SessionTimes",
     "StartAnswer",
+    "StartDropped",
     "StopAnswer",
     "WorkerSession",
 ]
@@ -55,6 +57,15 @@
     may_act: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class StartDropped:
+    """Tell that a start was not sent: it was not wanted any more, or not allowed."""
+
+    worker: str
+    task: str
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class StopAnswer:
     """Tell what came of a stop."""
@@ -66,7 +77,8 @@
 
 
 GrantLease = Callable[[str, float], float | None]
-Message = ReportAnswer | StartAnswer | StopAnswer
+GrantStart = Callable[[StartTask, float], float | None]
+Message = ReportAnswer | StartAnswer | StartDropped | StopAnswer
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,7 +110,8 @@
 class WorkerSession:
     """Own the calls to one worker and tell the owner what comes of them.
 
-    ``grant_lease`` says how long a lease a call may bring, None where it may not.
+    ``grant_lease`` says how long a lease a call may bring, None where it may not;
+    ``grant_start`` the same for a start, None where it may not be sent.
     """
 
     def __init__(
@@ -109,6 +122,7 @@
         times: SessionTimes,
         clock: WorkerClock,
         grant_lease: GrantLease,
+        grant_start: GrantStart,
         tell: Callable[[Message], None],
     ):
         self._name = name
@@ -117,6 +131,7 @@
         self._times = times
         self._clock = clock
         self._grant_lease = grant_lease
+        self._grant_start = grant_start
         self._tell = tell
         self._busy = True
         self._silent = False
@@ -218,40 +233,50 @@
         if self._clock.get_age_s(read_steady_s()) > self._times.clock_age_s:
             # By an old estimate the lease is short, after 300 s over at once.
             await self._probe()
-        code: Code | None = Code.ORDER_REFUSED
-        may_act = False
-        for _ in range(self._times.start_tries):
-            now_s = read_steady_s()
-            # A start brings a lease for all that runs there, as a renewal does.
-            lease_s = self._grant_lease(self._name, now_s)
-            if lease_s is None:
-                break
-            lease_until_ms = self._clock.get_lease_until_ms(now_s, lease_s)
-            if lease_until_ms is None:
-                break
-            result = await self._port.start_task(
-                StartOrder(
-                    order.task,
-                    order.attempt,
-                    order.payload,
-                    lease_until_ms,
-                    self._token,
-                    order.checkpoint,
-                )
-            )
-            match result:
-                case Success(clock_ms):
-                    self._take_clock(clock_ms)
-                    code = None
-                case Failure(problem):
-                    code = problem.code
+        call = self._make_start(order)
+        if call is None:
+            self._tell(StartDropped(self._name, order.task, order.attempt))
+            return
+        code = await self._try_start(call)
+        may_act = code is Code.WORKER_SILENT
+        for _ in range(self._times.start_tries - 1):
             if code is not Code.WORKER_SILENT:
                 break
-            may_act = True
             await asyncio.sleep(self._times.start_pause_s)
+            call = self._make_start(order)
+            if call is None:
+                break
+            code = await self._try_start(call)
         answer = StartAnswer(self._name, order.task, order.attempt, code, may_act)
         self._tell(answer)
 
+    def _make_start(self, order: StartTask) -> StartOrder | None:
+        """Return the call for a start that is sent now, None where it must not be."""
+        now_s = read_steady_s()
+        # A start brings a lease for all that runs there, as a renewal does.
+        lease_s = self._grant_start(order, now_s)
+        if lease_s is None:
+            return None
+        lease_until_ms = self._clock.get_lease_until_ms(now_s, lease_s)
+        if lease_until_ms is None:
+            return None
+        return StartOrder(
+            order.task,
+            order.attempt,
+            order.payload,
+            lease_until_ms,
+            self._token,
+            order.checkpoint,
+        )
+
+    async def _try_start(self, call: StartOrder) -> Code | None:
+        match await self._port.start_task(call):
+            case Success(clock_ms):
+                self._take_clock(clock_ms)
+                return None
+            case Failure(problem):
+                return problem.code
+
     async def _stop(self, order: StopTask) -> None:
         result = await self._port.stop_task(
             StopOrder(order.task, order.attempt, self._token)
--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -74,6 +74,9 @@
                 task.state = TaskState.RUNNING
                 task.began_s = now_s
                 task.saved_s = now_s
+        case Code.WORKER_SILENT if task.state is TaskState.RUNNING:
+            # A report has shown that it runs.
+            return
         case Code.WORKER_SILENT | Code.FENCED:
             # The order may still act: only a stop that is answered settles it, or
             # that its lease is over, without which no worker begins it.
@@ -211,6 +214,8 @@
     phase, task = found
     if task.state is TaskState.STARTING:
         task.state = TaskState.RUNNING
+    # It has begun, and no attempt begins twice on one worker.
+    task.settled_s = min(task.settled_s, now_s)
     if running.checkpoint and running.checkpoint != task.checkpoint:
         task.saved_s = now_s
         _keep_checkpoint(phase, task, running.checkpoint)
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -19,6 +19,7 @@
 from larkhoist.fleet.worker import FleetWorker
 from larkhoist.jobs.book import BookEntry
 from larkhoist.jobs.records import JobBegun, JobOutcome
+from larkhoist.ports.task_worker import EndKind
 from larkhoist.scheduling.quarantine import Quarantine
 
 __all__ = ["FleetState"]
@@ -188,6 +189,8 @@
 
     def finish(self, phase: Phase, task: Task) -> None:
         """Note that a task has ended as done."""
+        if task.is_on_worker:
+            self.over_by_proof[name_proof(EndListed(EndKind.DONE))] += 1
         self._vacate(phase, task)
         task.state = TaskState.DONE
         task.checkpoint = ""
--- a/tests/control/test_worker_session.py
+++ b/tests/control/test_worker_session.py
@@ -7,7 +7,13 @@
 
 from larkhoist.codes import Code
 from larkhoist.control.worker_clock import WorkerClock
-from larkhoist.control.worker_session import SessionTimes, StartAnswer, WorkerSession
+from larkhoist.control.worker_session import (
+    Message,
+    SessionTimes,
+    StartAnswer,
+    StartDropped,
+    WorkerSession,
+)
 from larkhoist.daemon.clock import read_steady_s
 from larkhoist.fleet.effects import StartTask
 from larkhoist.fleet.policy import FleetPolicy
@@ -53,6 +59,7 @@
         QUICK,
         WorkerClock(0, read_steady_s()),
         lambda *_: 6.0,
+        lambda *_: 6.0,
         told.append,
     )
     session.order_start(ORDER)
@@ -87,6 +94,7 @@
         QUICK,
         WorkerClock(0, read_steady_s() - rest_s),
         lambda *_: lease_s,
+        lambda *_: lease_s,
         lambda message: None,
     )
     session.order_start(ORDER)
@@ -114,3 +122,39 @@
     worker = RecordingWorker(clock_ms=int(rest_s * 1000))
     order = await start_after_rest(worker, rest_s, 6.0)
     assert order.lease_until_ms >= rest_s * 1000 + 6000
+
+
+async def tell_start(worker, grants: list[float | None]) -> list[Message]:
+    """Return what a session tells of a start for which leases are granted in turn."""
+    told = []
+    session = WorkerSession(
+        "w0",
+        worker,
+        1,
+        QUICK,
+        WorkerClock(0, read_steady_s()),
+        lambda *_: 6.0,
+        lambda *_: grants.pop(0),
+        told.append,
+    )
+    session.order_start(ORDER)
+    async with asyncio.timeout(10):
+        while not told:
+            await asyncio.sleep(0.005)
+    await session.close()
+    return told
+
+
+async def test_a_start_that_may_not_be_sent_is_told_as_dropped():
+    worker = RecordingWorker()
+    told = await tell_start(worker, [None])
+    assert told == [StartDropped("w0", ORDER.task, ORDER.attempt)]
+    assert not worker.starts
+
+
+async def test_a_start_is_not_sent_again_once_it_is_not_wanted():
+    worker = ScriptedWorker(Code.WORKER_SILENT, None)
+    told = await tell_start(worker, [6.0, None])
+    code = Code.WORKER_SILENT
+    assert told == [StartAnswer("w0", ORDER.task, ORDER.attempt, code, True)]
+    assert worker.codes == [None]
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -21,6 +21,7 @@
     ReportAnswer,
     SessionTimes,
     StartAnswer,
+    StartDropped,
     StopAnswer,
 )
 from larkhoist.fleet.effects import Note, Round, StartTask, StopTask
@@ -311,6 +312,8 @@
                 if problem.code is Code.ORDER_REFUSED:
                     scheduler.note_refused(worker)
                 self._take_failed_call(owner, worker, problem.code)
+            case StartDropped(_, task, attempt):
+                scheduler.note_never_sent(task, attempt, self.now_s)
             case StartAnswer(worker, task, attempt, code, may_act):
                 scheduler.take_start_answer(task, attempt, code, may_act, self.now_s)
                 if code is not None:
@@ -409,10 +412,15 @@
         if session.clock.get_age_s(self.now_s) > SessionTimes().clock_age_s:
             call = LeaseCall(owner.term, session.to_acknowledge)
             self._call(owner, session, _Probing(self.now_s), call)
-        lease_s = self._grant_lease(owner, session)
+        wanted = owner.scheduler.is_wanted(start.task, start.attempt)
+        lease_s = self._grant_lease(owner, session) if wanted else None
+        if lease_s is None and may_act:
+            code = Code.WORKER_SILENT
+            self._tell_start(owner, session, start, code, may_act=True)
+            return
         if lease_s is None:
-            code = Code.WORKER_SILENT if may_act else Code.ORDER_REFUSED
-            self._tell_start(owner, session, start, code, may_act=may_act)
+            dropped = StartDropped(session.worker, start.task, start.attempt)
+            owner.inbox.append(dropped)
             return
         order = StartOrder(
             start.task,
--- a/tests/fleet/test_proofs.py
+++ b/tests/fleet/test_proofs.py
@@ -212,3 +212,18 @@
     # Its entry is still on the list for a while.
     scheduler.take_list(entries, machine.now_s + 1)
     assert start.worker not in scheduler.state.workers
+
+
+def test_a_start_without_an_answer_that_a_report_shows_running_runs_on():
+    machine, _ = submit_one()
+    (start,) = decide(machine, machine.now_s).starts
+    scheduler = machine.owner.scheduler
+    running = RunningTask(start.task, start.attempt, "", 100)
+    at_s = machine.now_s + 0.5
+    report(machine, start.worker, WorkerReport(0, (running,), ()), at_s)
+    code = Code.WORKER_SILENT
+    scheduler.take_start_answer(start.task, start.attempt, code, True, at_s + 0.5)
+    assert not decide(machine, at_s + 0.5).stops
+    # It has begun once: a later report without it proves that it is over.
+    report(machine, start.worker, EMPTY, at_s + 1)
+    assert get_proofs(decide(machine, at_s + 1)) == ["absent_from_report"]
