Bound the pause after refusals; tell refused starts and gangs' ends apart in the log

The pause doubled without bound and overflowed at the 1,025th refusal, which ended the owner's decisions; starts refused together counted as refusals in a row. Refused starts shared an event with the evidence that frees tasks, so that the bound by event let them hide it; members ended by another's end had no line; a replaced worker kept its unwanted runs. The checker sent a start in the moment in which it asked for a clock, so that it could not draw a start that waits for the answer and is not wanted any more by then: sent all the same, it would have run twice. Change: as said; starts in the checker wait for the report.

--- a/src/larkhoist/daemon/metrics.py
+++ b/src/larkhoist/daemon/metrics.py
@@ -48,6 +48,7 @@
             ("fleet_waiting", "Tasks that wait, as the owner knows"),
             ("fleet_workers", "Workers known to the owner"),
             ("fleet_over_end_listed", "Attempts over: their worker listed the end"),
+            ("fleet_over_gang_done", "Attempts over: another member's end as done"),
             ("fleet_over_start_refused", "Attempts over: the start was refused"),
             ("fleet_over_never_sent", "Attempts over: the start was never sent"),
             ("fleet_over_absent_from_report", "Attempts over: a report lacks them"),
--- a/src/larkhoist/fleet/proofs.py
+++ b/src/larkhoist/fleet/proofs.py
@@ -13,6 +13,7 @@
     "PROOF_NAMES",
     "AbsentFromReport",
     "EndListed",
+    "GangDone",
     "LeaseOver",
     "NeverSent",
     "Proof",
@@ -30,6 +31,13 @@
     kind: EndKind
 
 
+@dataclass(frozen=True, slots=True)
+class GangDone:
+    """Another member's listed end as done stands for the whole gang."""
+
+    member: str
+
+
 @dataclass(frozen=True, slots=True)
 class StartRefused:
     """The worker refused the only try of the start, and has done nothing."""
@@ -67,12 +75,19 @@
 
 
 Proof = (
-    EndListed | StartRefused | NeverSent | AbsentFromReport | LeaseOver | WorkerReplaced
+    EndListed
+    | GangDone
+    | StartRefused
+    | NeverSent
+    | AbsentFromReport
+    | LeaseOver
+    | WorkerReplaced
 )
 
 
 PROOF_NAMES = (
     "end_listed",
+    "gang_done",
     "start_refused",
     "never_sent",
     "absent_from_report",
@@ -87,6 +102,8 @@
     match proof:
         case EndListed():
             return "end_listed"
+        case GangDone():
+            return "gang_done"
         case StartRefused():
             return "start_refused"
         case NeverSent():
@@ -104,6 +121,8 @@
     match proof:
         case EndListed(kind):
             return {"how": kind.value}
+        case GangDone(member):
+            return {"member": member}
         case StartRefused(code):
             return {"reason": code.name}
         case AbsentFromReport(asked_s, settled_s):
--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -5,6 +5,7 @@
 from larkhoist.fleet.proofs import (
     AbsentFromReport,
     EndListed,
+    GangDone,
     Proof,
     StartRefused,
     name_proof,
@@ -68,7 +69,7 @@
     phase, task = found
     match code:
         case None:
-            state.workers[task.worker].refusals = 0
+            state.workers[task.worker].refused_pause_s = 0.0
             task.settled_s = min(task.settled_s, now_s)
             if task.state is TaskState.STARTING:
                 task.state = TaskState.RUNNING
@@ -105,7 +106,12 @@
 def _pause_worker(
     state: FleetState, worker: FleetWorker, code: Code, now_s: float
 ) -> None:
-    """Give a worker that refused a start no other one for a while."""
+    """Give a worker that refused a start no other one for a while.
+
+    Starts that were under way together are refused together, and count once.
+    """
+    if now_s < worker.paused_until_s:
+        return
     policy = state.policy
     match code:
         case Code.ATTEMPT_TOO_OLD:
@@ -114,9 +120,9 @@
         case Code.WORKER_FULL:
             pause_s = policy.full_pause_s
         case _:
-            pause_s = policy.refused_pause_s * 2**worker.refusals
+            pause_s = max(policy.refused_pause_s, 2 * worker.refused_pause_s)
             pause_s = min(pause_s, policy.longest_refused_pause_s)
-            worker.refusals += 1
+            worker.refused_pause_s = pause_s
     worker.paused_until_s = now_s + pause_s
 
 
@@ -183,7 +189,8 @@
         return
     # One such end stands for the whole gang.
     for member in phase.tasks if phase.spec.gang else [task]:
-        state.finish(phase, member)
+        proof = EndListed(EndKind.DONE) if member is task else GangDone(task.name)
+        state.finish(phase, member, proof, now_s)
     phase.closing = False
 
 
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -195,6 +195,7 @@
         found = self.state.workers.get(worker)
         if found is not None:
             found.listed = False
+            found.strays = {}
             self._replaced.add(worker)
             take_worker_gone(self.state, found, WorkerReplaced(), now_s)
 
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -12,14 +12,19 @@
 from larkhoist.fleet.effects import EndedJob, Note, Round, StartTask, StopTask
 from larkhoist.fleet.headroom import UrgentDemand
 from larkhoist.fleet.policy import FleetPolicy
-from larkhoist.fleet.proofs import EndListed, Proof, describe_proof, name_proof
+from larkhoist.fleet.proofs import (
+    EndListed,
+    Proof,
+    StartRefused,
+    describe_proof,
+    name_proof,
+)
 from larkhoist.fleet.runtimes import QueueRuntimes
 from larkhoist.fleet.speeds import RackSpeeds
 from larkhoist.fleet.task import ActiveJob, Phase, Task, TaskState, create_phase
 from larkhoist.fleet.worker import FleetWorker
 from larkhoist.jobs.book import BookEntry
 from larkhoist.jobs.records import JobBegun, JobOutcome
-from larkhoist.ports.task_worker import EndKind
 from larkhoist.scheduling.quarantine import Quarantine
 
 __all__ = ["FleetState"]
@@ -187,10 +192,10 @@
             if phase.spec.gang and off and not phase.is_off_workers:
                 self._close_gang(phase, now_s)
 
-    def finish(self, phase: Phase, task: Task) -> None:
+    def finish(self, phase: Phase, task: Task, proof: Proof, now_s: float) -> None:
         """Note that a task has ended as done."""
         if task.is_on_worker:
-            self.over_by_proof[name_proof(EndListed(EndKind.DONE))] += 1
+            self._note_over(task, proof, now_s)
         self._vacate(phase, task)
         task.state = TaskState.DONE
         task.checkpoint = ""
@@ -245,10 +250,16 @@
         """Have it logged by what an attempt is over; its listed end has a line."""
         name = name_proof(proof)
         self.over_by_proof[name] += 1
-        if isinstance(proof, EndListed):
-            return
+        match proof:
+            case EndListed():
+                return
+            case StartRefused():
+                # An event of its own: many at once must not hide other evidence.
+                event = "start-refused"
+            case _:
+                event = "attempt-over"
         self.note(
-            "attempt-over",
+            event,
             task=task.name,
             attempt=task.attempt,
             worker=task.worker,
--- a/src/larkhoist/fleet/worker.py
+++ b/src/larkhoist/fleet/worker.py
@@ -15,8 +15,9 @@
     stopped; held room makes it negative while the others still run. After
     ``lease_end_s`` nothing runs there unless a lease was renewed. ``heard_s`` is when
     this owner made the last call that was answered. ``unlisted_s`` is since when its
-    entry is off the list, ``refusals`` how many starts it has refused in a row,
-    ``strays`` holds the attempts by task that its last report named and nobody wants.
+    entry is off the list, ``refused_pause_s`` how long the last refusal in a row has
+    paused it; ``strays`` holds the attempts by task that its last report named and
+    nobody wants.
     """
 
     name: str
@@ -34,7 +35,7 @@
     heard_s: float = float("-inf")
     unlisted_s: float | None = None
     paused_until_s: float = float("-inf")
-    refusals: int = 0
+    refused_pause_s: float = 0.0
     used: Resources = field(default_factory=Resources)
     tasks: set[str] = field(default_factory=set)
     seen: int = 0
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -146,12 +146,14 @@
 
 @dataclass(slots=True)
 class _Retry:
-    """Hold a second try of a start that is sent at ``due_s``."""
+    """Hold a try of a start that is sent at ``due_s``."""
 
     due_s: float
     owner: _Owner
     session: _Session
     start: StartTask
+    tries: int
+    may_act: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -374,7 +376,7 @@
                 owner.scheduler.note_never_sent(start.task, start.attempt, self.now_s)
                 continue
             session.busy = session.woken = True
-            self._send_start(owner, session, start, START_TRIES, may_act=False)
+            self._order_start(owner, session, start)
 
     # Sessions.
 
@@ -400,6 +402,19 @@
             return None
         return owner.scheduler.grant_lease(session.worker, self.now_s)
 
+    def _order_start(self, owner: _Owner, session: _Session, start) -> None:
+        """Send a start, after a report where the worker's clock is old."""
+        if session.clock.get_age_s(self.now_s) > SessionTimes().clock_age_s:
+            call = LeaseCall(owner.term, session.to_acknowledge)
+            self._call(owner, session, _Probing(self.now_s), call)
+            if session.clock.heard_s < self.now_s:
+                # No answer yet: the start waits until the call has run out of time.
+                due_s = self.now_s + CALL_TIMEOUT_S
+                retry = _Retry(due_s, owner, session, start, START_TRIES, False)
+                self._retries.append(retry)
+                return
+        self._send_start(owner, session, start, START_TRIES, may_act=False)
+
     def _send_start(
         self,
         owner: _Owner,
@@ -409,9 +424,6 @@
         *,
         may_act: bool,
     ) -> None:
-        if session.clock.get_age_s(self.now_s) > SessionTimes().clock_age_s:
-            call = LeaseCall(owner.term, session.to_acknowledge)
-            self._call(owner, session, _Probing(self.now_s), call)
         wanted = owner.scheduler.is_wanted(start.task, start.attempt)
         lease_s = self._grant_lease(owner, session) if wanted else None
         if lease_s is None and may_act:
@@ -451,7 +463,11 @@
         for retry in retries:
             if not retry.session.closed:
                 self._send_start(
-                    retry.owner, retry.session, retry.start, 1, may_act=True
+                    retry.owner,
+                    retry.session,
+                    retry.start,
+                    retry.tries,
+                    may_act=retry.may_act,
                 )
 
     def _hear(self, answer: _Answer) -> None:
@@ -496,7 +512,8 @@
             may_act = True
             if starting.tries_left:
                 due_s = self.now_s + START_PAUSE_S
-                self._retries.append(_Retry(due_s, owner, session, start))
+                retry = _Retry(due_s, owner, session, start, 1, may_act=True)
+                self._retries.append(retry)
                 return
         self._tell_start(owner, session, start, code, may_act=may_act)
 
--- a/tests/fleet/test_proofs.py
+++ b/tests/fleet/test_proofs.py
@@ -122,6 +122,36 @@
     assert len(gaps) >= 4
 
 
+def test_starts_that_are_refused_together_count_once():
+    job = make_job(1, StepSpec(count=4, accelerators=1, estimate_ms=900))
+    machine = make_machine(1, (job,))
+    machine.run(1)
+    machine.submit(job)
+    scheduler = machine.owner.scheduler
+    at_s = machine.now_s
+    code = Code.ORDER_REFUSED
+    starts = decide(machine, at_s).starts
+    assert len(starts) == 4
+    for start in starts:
+        scheduler.take_start_answer(start.task, start.attempt, code, False, at_s)
+    worker = scheduler.state.workers["w0"]
+    assert worker.paused_until_s == at_s + scheduler.state.policy.refused_pause_s
+
+
+def test_a_worker_that_refuses_for_long_is_paused_for_the_longest_time():
+    machine, _ = submit_one(workers=1)
+    scheduler = machine.owner.scheduler
+    policy = scheduler.state.policy
+    code = Code.ORDER_REFUSED
+    at_s = machine.now_s
+    for _ in range(2000):
+        for start in decide(machine, at_s).starts:
+            scheduler.take_start_answer(start.task, start.attempt, code, False, at_s)
+        at_s += policy.longest_refused_pause_s + 0.1
+    worker = scheduler.state.workers["w0"]
+    assert worker.refused_pause_s == policy.longest_refused_pause_s
+
+
 def test_a_worker_that_refuses_to_report_gets_no_start_until_it_reports():
     machine, _ = submit_one(workers=1)
     scheduler = machine.owner.scheduler
@@ -205,11 +235,13 @@
     (start,) = decide(machine, machine.now_s).starts
     scheduler = machine.owner.scheduler
     entries = machine._list_workers()
+    stray = RunningTask(f"{9:016x}.0.0.0", 3, "", 100)
+    report(machine, start.worker, WorkerReport(0, (stray,), ()), machine.now_s)
     scheduler.note_replaced(start.worker, machine.now_s)
     decided = decide(machine, machine.now_s)
     assert get_proofs(decided) == ["worker_replaced"]
     assert [again.task for again in decided.starts] == [start.task]
-    # Its entry is still on the list for a while.
+    # Nothing is left of what it ran unwanted; its entry stays for a while.
     scheduler.take_list(entries, machine.now_s + 1)
     assert start.worker not in scheduler.state.workers
 
