Test each proof and bound that a mutant outlived; say a refusal's status in the log

The checker exempted orders from the bound after a cancelling that had lost their answer alone. The drift of clocks and the names of proofs stood more than once; starts to an idle worker asked for its clock each on its own; the log did not say what a refusal said. Change: tests for each; only orders that were carried out late are exempt; one constant for the drift; names beside their proofs; one report for starts that wait for it; the refusal's status and text in start-refused.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -373,8 +373,8 @@
                 self._take_failed_call(worker, problem.code, now_s)
             case StartDropped(_, task, attempt):
                 scheduler.note_never_sent(task, attempt, now_s)
-            case StartAnswer(worker, task, attempt, code, may_act):
-                scheduler.take_start_answer(task, attempt, code, may_act, now_s)
+            case StartAnswer(worker, task, attempt, code, may_act, detail):
+                scheduler.take_start_answer(task, attempt, code, may_act, now_s, detail)
                 if code is not None:
                     self._take_failed_call(worker, code, now_s)
             case StopAnswer(worker, task, attempt, None):
--- a/src/larkhoist/control/worker_clock.py
+++ b/src/larkhoist/control/worker_clock.py
@@ -2,10 +2,9 @@
 
 from dataclasses import dataclass
 
-__all__ = ["CLOCK_DRIFT", "WorkerClock"]
+from larkhoist.ports.task_worker import CLOCK_DRIFT
 
-CLOCK_DRIFT = 0.02
-"""How much slower than true time a worker's clock may run; from the users' pages."""
+__all__ = ["WorkerClock"]
 
 
 @dataclass(slots=True)
--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -47,7 +47,7 @@
     """Tell what came of a start; ``code`` is None where the task has begun.
 
     ``may_act`` tells that an earlier try got no answer: it may have begun the task,
-    or may still, whatever the last answer says.
+    or may still, whatever the last answer says. ``detail`` is what it says.
     """
 
     worker: str
@@ -55,6 +55,7 @@
     attempt: int
     code: Code | None
     may_act: bool = False
+    detail: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +142,7 @@
         self._acked = asyncio.Event()
         self._task: asyncio.Task | None = None
         self._orders: set[asyncio.Task] = set()
+        self._asking_for_clock: asyncio.Task | None = None
 
     async def start(self) -> None:
         """Begin to ask for reports; the first one is asked for at once."""
@@ -232,23 +234,39 @@
     async def _start(self, order: StartTask) -> None:
         if self._clock.get_age_s(read_steady_s()) > self._times.clock_age_s:
             # By an old estimate the lease is short, after 300 s over at once.
-            await self._probe()
+            await self._ask_for_clock()
         call = self._make_start(order)
         if call is None:
             self._tell(StartDropped(self._name, order.task, order.attempt))
             return
-        code = await self._try_start(call)
-        may_act = code is Code.WORKER_SILENT
+        result = await self._try_start(call)
+        may_act = _is_silent(result)
         for _ in range(self._times.start_tries - 1):
-            if code is not Code.WORKER_SILENT:
+            if not _is_silent(result):
                 break
             await asyncio.sleep(self._times.start_pause_s)
             call = self._make_start(order)
             if call is None:
                 break
-            code = await self._try_start(call)
-        answer = StartAnswer(self._name, order.task, order.attempt, code, may_act)
-        self._tell(answer)
+            result = await self._try_start(call)
+        self._tell(self._make_start_answer(order, result, may_act))
+
+    def _make_start_answer(
+        self, order: StartTask, result: Result[int, Problem], may_act: bool
+    ) -> StartAnswer:
+        match result:
+            case Failure(problem):
+                code, detail = problem.code, problem.detail
+            case _:
+                code, detail = None, ""
+        return StartAnswer(self._name, order.task, order.attempt, code, may_act, detail)
+
+    async def _ask_for_clock(self) -> None:
+        """Ask for a report; starts that wait for one at once share it."""
+        if self._asking_for_clock is None or self._asking_for_clock.done():
+            self._asking_for_clock = asyncio.create_task(self._probe())
+            self._own(self._asking_for_clock)
+        await asyncio.wait([self._asking_for_clock])
 
     def _make_start(self, order: StartTask) -> StartOrder | None:
         """Return the call for a start that is sent now, None where it must not be."""
@@ -269,13 +287,12 @@
             order.checkpoint,
         )
 
-    async def _try_start(self, call: StartOrder) -> Code | None:
-        match await self._port.start_task(call):
+    async def _try_start(self, call: StartOrder) -> Result[int, Problem]:
+        result = await self._port.start_task(call)
+        match result:
             case Success(clock_ms):
                 self._take_clock(clock_ms)
-                return None
-            case Failure(problem):
-                return problem.code
+        return result
 
     async def _stop(self, order: StopTask) -> None:
         result = await self._port.stop_task(
@@ -293,6 +310,15 @@
         self._clock.take(clock_ms, read_steady_s())
 
     def _spawn(self, job) -> None:
-        task = asyncio.create_task(job)
+        self._own(asyncio.create_task(job))
+
+    def _own(self, task: asyncio.Task) -> None:
         self._orders.add(task)
         task.add_done_callback(self._orders.discard)
+
+
+def _is_silent(result: Result[int, Problem]) -> bool:
+    match result:
+        case Failure(problem):
+            return problem.code is Code.WORKER_SILENT
+    return False
--- a/src/larkhoist/daemon/logs.py
+++ b/src/larkhoist/daemon/logs.py
@@ -17,8 +17,8 @@
 MAX_LINES_PER_S = 400
 """How many lines a process writes in one second; more are counted instead."""
 MAX_LINES_OF_EVENT_PER_S = 200
-"""How many of them are of one event, so that no storm of one line hides the others: a
-worker that refused starts once hid by which evidence tasks had been freed."""
+"""How many of them are of one event, so that no storm of one line hides the others:
+refused starts came up to 300 a second beyond the bound of all lines."""
 
 
 class KeyValueFormatter(logging.Formatter):
--- a/src/larkhoist/fleet/policy.py
+++ b/src/larkhoist/fleet/policy.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from larkhoist.ports.task_worker import CLOCK_DRIFT
+
 __all__ = ["FleetPolicy"]
 
 
@@ -9,9 +11,9 @@
 class FleetPolicy:
     """Hold times in seconds; the platform's settings give the first three.
 
-    ``lease_s`` is the longest lease of a worker, ``clock_drift`` how much slower
-    its clock may run, ``predecessor_s`` how long an owner that lost touch with the
-    log goes on renewing leases, ``stop_s`` how long a worker may take to stop.
+    ``lease_s`` is the longest lease of a worker, ``predecessor_s`` how long an owner
+    that lost touch with the log goes on renewing leases, ``stop_s`` how long a worker
+    may take to stop.
 
     ``departing_lease_s`` is the lease of a worker that leaves, or has been off the
     list for ``unlisted_patience_s``: an entry that lapsed with the list's keeper is
@@ -33,7 +35,6 @@
     """
 
     lease_s: float = 10.0
-    clock_drift: float = 0.02
     predecessor_s: float = 8.0
     lease_slack_s: float = 0.3
     departing_lease_s: float = 2.0
@@ -61,4 +62,4 @@
         It ends at a time on the worker's clock that was at most ``lease_s`` ahead
         when the call was made, however late the call is carried out.
         """
-        return lease_s / (1 - self.clock_drift) + self.lease_slack_s
+        return lease_s / (1 - CLOCK_DRIFT) + self.lease_slack_s
--- a/src/larkhoist/fleet/proofs.py
+++ b/src/larkhoist/fleet/proofs.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from typing import ClassVar, get_args
 
 from larkhoist.codes import Code
 from larkhoist.ports.task_worker import EndKind
@@ -20,7 +21,6 @@
     "StartRefused",
     "WorkerReplaced",
     "describe_proof",
-    "name_proof",
 ]
 
 
@@ -28,6 +28,7 @@
 class EndListed:
     """The worker listed how the attempt ended."""
 
+    NAME: ClassVar[str] = "end_listed"
     kind: EndKind
 
 
@@ -35,6 +36,7 @@
 class GangDone:
     """Another member's listed end as done stands for the whole gang."""
 
+    NAME: ClassVar[str] = "gang_done"
     member: str
 
 
@@ -42,13 +44,17 @@
 class StartRefused:
     """The worker refused the only try of the start, and has done nothing."""
 
+    NAME: ClassVar[str] = "start_refused"
     code: Code
+    detail: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class NeverSent:
     """The start was dropped before it was sent."""
 
+    NAME: ClassVar[str] = "never_sent"
+
 
 @dataclass(frozen=True, slots=True)
 class AbsentFromReport:
@@ -58,6 +64,7 @@
     begin the attempt any more; both are steady seconds.
     """
 
+    NAME: ClassVar[str] = "absent_from_report"
     asked_s: float
     settled_s: float
 
@@ -66,6 +73,7 @@
 class LeaseOver:
     """The last lease that the worker may have is over since ``lease_end_s``."""
 
+    NAME: ClassVar[str] = "lease_over"
     lease_end_s: float
 
 
@@ -73,6 +81,8 @@
 class WorkerReplaced:
     """Another incarnation answered at the worker's address."""
 
+    NAME: ClassVar[str] = "worker_replaced"
+
 
 Proof = (
     EndListed
@@ -85,37 +95,10 @@
 )
 
 
-PROOF_NAMES = (
-    "end_listed",
-    "gang_done",
-    "start_refused",
-    "never_sent",
-    "absent_from_report",
-    "lease_over",
-    "worker_replaced",
-)
+PROOF_NAMES = tuple(kind.NAME for kind in get_args(Proof))
 """The names of all proofs, for metrics."""
 
 
-def name_proof(proof: Proof) -> str:
-    """Return the proof's name for logs and metrics."""
-    match proof:
-        case EndListed():
-            return "end_listed"
-        case GangDone():
-            return "gang_done"
-        case StartRefused():
-            return "start_refused"
-        case NeverSent():
-            return "never_sent"
-        case AbsentFromReport():
-            return "absent_from_report"
-        case LeaseOver():
-            return "lease_over"
-        case WorkerReplaced():
-            return "worker_replaced"
-
-
 def describe_proof(proof: Proof, now_s: float) -> dict[str, object]:
     """Return the inputs of the proof and their age in seconds, for the log."""
     match proof:
@@ -123,8 +106,8 @@
             return {"how": kind.value}
         case GangDone(member):
             return {"member": member}
-        case StartRefused(code):
-            return {"reason": code.name}
+        case StartRefused(code, detail):
+            return {"reason": code.name, "detail": detail}
         case AbsentFromReport(asked_s, settled_s):
             return {
                 "report_age_s": round(now_s - asked_s, 3),
--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -8,7 +8,6 @@
     GangDone,
     Proof,
     StartRefused,
-    name_proof,
 )
 from larkhoist.fleet.state import FleetState
 from larkhoist.fleet.task import Phase, Task, TaskState
@@ -58,6 +57,7 @@
     code: Code | None,
     may_act: bool,
     now_s: float,
+    detail: str = "",
 ) -> None:
     """Take the answer to a start order; None means that the task has begun.
 
@@ -95,7 +95,7 @@
             state.stop(phase, task, now_s)
         case _:
             _pause_worker(state, state.workers[task.worker], code, now_s)
-            state.release(phase, task, StartRefused(code), now_s)
+            state.release(phase, task, StartRefused(code, detail), now_s)
 
 
 def _settle_with_lease(state: FleetState, task: Task, now_s: float) -> None:
@@ -141,7 +141,7 @@
     state.note(
         "worker-idle",
         worker=worker.name,
-        reason=name_proof(proof),
+        reason=proof.NAME,
         tasks=len(tasks),
         heard_age_s=round(now_s - worker.heard_s, 3),
     )
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -172,13 +172,20 @@
         take_report(self.state, found, report, asked_s, now_s, now_ms)
 
     def take_start_answer(
-        self, task: str, attempt: int, code: Code | None, may_act: bool, now_s: float
+        self,
+        task: str,
+        attempt: int,
+        code: Code | None,
+        may_act: bool,
+        now_s: float,
+        detail: str = "",
     ) -> None:
         """Take the answer to a start order; None means that the task has begun.
 
-        ``may_act`` tells that an earlier try of the order may still begin it.
+        ``may_act`` tells that an earlier try of the order may still begin it,
+        ``detail`` what the worker said of a refusal, for the log.
         """
-        take_start_answer(self.state, task, attempt, code, may_act, now_s)
+        take_start_answer(self.state, task, attempt, code, may_act, now_s, detail)
 
     def take_stop_answer(self, task: str, attempt: int, now_s: float) -> None:
         """Take the answer to a stop order."""
@@ -314,9 +321,9 @@
                 self.state.stop(phase, task, now_s)
 
     def _unlist(self, worker: FleetWorker, now_s: float) -> None:
-        # That an entry is gone proves nothing: entries lapse while workers run on,
-        # and a task that was started elsewhere at once ran twice. Only the worker's
-        # own report or the end of its lease frees its tasks.
+        # That an entry is gone proves nothing: entries lapse while workers run on, and
+        # a task that starts elsewhere would run twice. Only the worker's own word or
+        # the end of its lease frees its tasks.
         self.state.note(
             "worker-unlisted",
             worker=worker.name,
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -17,7 +17,6 @@
     Proof,
     StartRefused,
     describe_proof,
-    name_proof,
 )
 from larkhoist.fleet.runtimes import QueueRuntimes
 from larkhoist.fleet.speeds import RackSpeeds
@@ -248,7 +247,7 @@
 
     def _note_over(self, task: Task, proof: Proof, now_s: float) -> None:
         """Have it logged by what an attempt is over; its listed end has a line."""
-        name = name_proof(proof)
+        name = proof.NAME
         self.over_by_proof[name] += 1
         match proof:
             case EndListed():
--- a/src/larkhoist/ports/task_worker.py
+++ b/src/larkhoist/ports/task_worker.py
@@ -14,6 +14,7 @@
 from larkhoist.problem import Problem
 
 __all__ = [
+    "CLOCK_DRIFT",
     "EndKind",
     "EndedTask",
     "LeaseCall",
@@ -25,6 +26,10 @@
 ]
 
 
+CLOCK_DRIFT = 0.02
+"""How much slower than true time a worker's clock may run; from the users' pages."""
+
+
 class EndKind(StrEnum):
     """Name how a task ended.
 
--- a/tests/control/test_worker_session.py
+++ b/tests/control/test_worker_session.py
@@ -9,6 +9,7 @@
 from larkhoist.control.worker_clock import WorkerClock
 from larkhoist.control.worker_session import (
     Message,
+    ReportAnswer,
     SessionTimes,
     StartAnswer,
     StartDropped,
@@ -158,3 +159,62 @@
     code = Code.WORKER_SILENT
     assert told == [StartAnswer("w0", ORDER.task, ORDER.attempt, code, True)]
     assert worker.codes == [None]
+
+
+class MuteWorker:
+    """Keep the calls for reports it gets; the first one has no answer."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def renew(self, call):
+        self.calls.append(call)
+        await asyncio.sleep(0.005)
+        if len(self.calls) == 1:
+            return Failure(Problem(Code.WORKER_SILENT))
+        return Success(WorkerReport(0, (), ()))
+
+
+async def test_a_lease_is_not_renewed_after_silence_until_an_answer():
+    # What had no answer may have been done: a second one would not end in time.
+    worker = MuteWorker()
+    session = WorkerSession(
+        "w0",
+        worker,
+        1,
+        QUICK,
+        WorkerClock(0, read_steady_s()),
+        lambda *_: 6.0,
+        lambda *_: 6.0,
+        lambda message: None,
+    )
+    await session.start()
+    async with asyncio.timeout(10):
+        while len(worker.calls) < 3:
+            await asyncio.sleep(0.005)
+    await session.close()
+    renewed = [call.lease_until_ms is not None for call in worker.calls[:3]]
+    assert renewed == [True, False, True]
+
+
+async def test_starts_that_wait_for_the_clock_share_one_report():
+    rest_s = 600.0
+    worker = RecordingWorker(clock_ms=int(rest_s * 1000))
+    told = []
+    session = WorkerSession(
+        "w0",
+        worker,
+        1,
+        QUICK,
+        WorkerClock(0, read_steady_s() - rest_s),
+        lambda *_: 6.0,
+        lambda *_: 6.0,
+        told.append,
+    )
+    for _ in range(3):
+        session.order_start(ORDER)
+    async with asyncio.timeout(10):
+        while len(worker.starts) < 3:
+            await asyncio.sleep(0.005)
+    await session.close()
+    assert sum(isinstance(message, ReportAnswer) for message in told) == 1
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -98,6 +98,7 @@
     due_s: float
     worker: str
     order: Order
+    late: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -559,7 +560,8 @@
             lag_s = self.random.choice(LATE_S)
         if lag_s is not None:
             due_s = self.now_s + lag_s
-            self.late.append(_LateOrder(due_s, session.worker, order))
+            late = _LateOrder(due_s, session.worker, order, lag_s > 0)
+            self.late.append(late)
             return None
         worker = self.world.workers[session.worker]
         if worker.dead:
@@ -589,7 +591,7 @@
         for late in due:
             worker = self.world.workers[late.worker]
             if not worker.dead:
-                self._carry_out_order(worker, late.order, late=True)
+                self._carry_out_order(worker, late.order, late=late.late)
 
     # The list of workers.
 
--- a/tests/fleet/test_proofs.py
+++ b/tests/fleet/test_proofs.py
@@ -11,7 +11,13 @@
 from larkhoist.jobs.book import BookEntry
 from larkhoist.jobs.records import JobOutcome, PhaseId, PhaseProgress, TaskProgress
 from larkhoist.jobs.spec import StagedJob, StepSpec
-from larkhoist.ports.task_worker import EndedTask, EndKind, RunningTask, WorkerReport
+from larkhoist.ports.task_worker import (
+    CLOCK_DRIFT,
+    EndedTask,
+    EndKind,
+    RunningTask,
+    WorkerReport,
+)
 from tests.fleet.cases import make_job, make_machine
 from tests.fleet.machine import FleetMachine
 
@@ -106,7 +112,7 @@
 @pytest.mark.parametrize("code", [Code.ORDER_REFUSED, Code.ORDER_TOO_LATE])
 def test_a_worker_that_refuses_starts_gets_the_next_one_later_each_time(code):
     # Without a pause attempts followed each other by 16 ms at half, up to 1,135 of
-    # one task in a day of 30 s.
+    # one task in 30 s.
     machine, _ = submit_one(workers=1)
     scheduler = machine.owner.scheduler
     tried_s = []
@@ -186,8 +192,10 @@
     stray = RunningTask(f"{9:016x}.0.0.0", 3, "", 100)
     at_s = machine.now_s
     report(machine, "w0", WorkerReport(0, (stray,), ()), at_s)
-    after_s = at_s + scheduler.state.policy.lapse_s + 0.1
-    decide(machine, after_s)
+    lapse_s = scheduler.state.policy.lapse_s
+    decide(machine, at_s + lapse_s - 0.1)
+    assert scheduler.is_busy("w0")
+    decide(machine, at_s + lapse_s + 0.1)
     assert not scheduler.is_busy("w0")
 
 
@@ -259,3 +267,55 @@
     # It has begun once: a later report without it proves that it is over.
     report(machine, start.worker, EMPTY, at_s + 1)
     assert get_proofs(decide(machine, at_s + 1)) == ["absent_from_report"]
+
+
+def test_a_start_that_was_dropped_frees_its_task_by_that():
+    machine, _ = submit_one()
+    (start,) = decide(machine, machine.now_s).starts
+    scheduler = machine.owner.scheduler
+    scheduler.note_never_sent(start.task, start.attempt, machine.now_s)
+    decided = decide(machine, machine.now_s)
+    assert get_proofs(decided) == ["never_sent"]
+    assert [again.attempt for again in decided.starts] == [2]
+
+
+def test_a_lease_is_counted_as_long_as_it_is_granted():
+    machine, _ = submit_one()
+    (start,) = decide(machine, machine.now_s).starts
+    scheduler = machine.owner.scheduler
+    policy = scheduler.state.policy
+    worker = scheduler.state.workers[start.worker]
+    at_s = machine.now_s + 5
+    for leaving, longest_s in ((False, policy.lease_s), (True, 2.0)):
+        worker.leaving = leaving
+        worker.lease_end_s = at_s
+        lease_s = scheduler.grant_lease(start.worker, at_s)
+        assert lease_s == longest_s
+        assert worker.lease_end_s >= at_s + lease_s / (1 - CLOCK_DRIFT)
+
+
+def test_a_worker_gets_short_leases_once_its_entry_is_gone_for_long():
+    machine, _ = submit_one()
+    (start,) = decide(machine, machine.now_s).starts
+    scheduler = machine.owner.scheduler
+    policy = scheduler.state.policy
+    rest = [e for e in machine._list_workers() if e.name != start.worker]
+    at_s = machine.now_s
+    scheduler.take_list(rest, at_s)
+    # Entries that lapsed with the list's keeper are back by then.
+    assert scheduler.grant_lease(start.worker, at_s + 2) == policy.lease_s
+    patience_s = policy.unlisted_patience_s
+    lease_s = scheduler.grant_lease(start.worker, at_s + patience_s + 0.1)
+    assert lease_s == policy.departing_lease_s
+
+
+def test_a_successor_counts_the_leases_of_its_predecessor():
+    job = make_job(1, ONE)
+    members = (TaskProgress(attempt=1, worker="gone", address="gone:1"),)
+    phase = PhaseId(job.job_id, 0, 0)
+    machine = take_over(PhaseProgress(phase, members), job)
+    policy = machine.owner.scheduler.state.policy
+    # A former owner that lost touch goes on renewing for some time.
+    over_s = machine.now_s + policy.predecessor_s + policy.lapse_s
+    assert not decide(machine, over_s - 0.1).starts
+    assert get_proofs(decide(machine, over_s + 0.1)) == ["lease_over"]
