Ask a worker whose clock is unknown without a wait

Cause: a successor that reaches a worker by its address alone could renew its lease only after a first answer, which waited 0.6 s for an end. Change: that call waits for nothing.

--- a/src/larkhoist/control/worker_clock.py
+++ b/src/larkhoist/control/worker_clock.py
@@ -26,6 +26,11 @@
         self.clock_ms = clock_ms
         self.heard_s = now_s
 
+    @property
+    def is_known(self) -> bool:
+        """Tell whether the clock was ever heard of."""
+        return self.clock_ms is not None
+
     def get_age_s(self, now_s: float) -> float:
         """Return how long ago the clock was heard of."""
         return now_s - self.heard_s
--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -193,7 +193,8 @@
         lease_until_ms = None
         if lease_s is not None:
             lease_until_ms = self._clock.get_lease_until_ms(now_s, lease_s)
-        waits = self._busy and not self._silent
+        # A clock that was never heard of grants no lease: its answer can't wait.
+        waits = self._busy and not self._silent and self._clock.is_known
         wait_ms = self._times.get_wait_ms(lease_s) if waits else 0
         acknowledged = self._to_acknowledge
         call = LeaseCall(self._token, acknowledged, lease_until_ms, wait_ms)
--- a/tests/control/test_worker_session.py
+++ b/tests/control/test_worker_session.py
@@ -218,3 +218,26 @@
             await asyncio.sleep(0.005)
     await session.close()
     assert sum(isinstance(message, ReportAnswer) for message in told) == 1
+
+
+async def test_a_worker_whose_clock_is_unknown_is_asked_without_a_wait():
+    # It is off the list and reached by its address alone: its lease runs out.
+    worker = MuteWorker()
+    session = WorkerSession(
+        "w0",
+        worker,
+        1,
+        QUICK,
+        WorkerClock(),
+        lambda *_: 6.0,
+        lambda *_: 6.0,
+        lambda message: None,
+    )
+    await session.start()
+    async with asyncio.timeout(10):
+        while len(worker.calls) < 3:
+            await asyncio.sleep(0.005)
+    await session.close()
+    assert [call.wait_ms for call in worker.calls[:2]] == [0, 0]
+    assert worker.calls[0].lease_until_ms is None
+    assert worker.calls[2].lease_until_ms is not None
