Make the sessions of a test file in one place

Cause: six tests wrote out the same session of eight arguments. Change: make_session holds the defaults and each test names what differs.

--- a/tests/control/test_worker_session.py
+++ b/tests/control/test_worker_session.py
@@ -39,6 +39,22 @@
         return Success(WorkerReport(1, (), ()))
 
 
+def make_session(
+    worker, tell=lambda message: None, clock=None, lease_s=6.0, grant_start=None
+) -> WorkerSession:
+    """Return a session with a worker whose clock was just heard of, at 0."""
+    return WorkerSession(
+        "w0",
+        worker,
+        1,
+        QUICK,
+        clock or WorkerClock(0, read_steady_s()),
+        lambda *_: lease_s,
+        grant_start or (lambda *_: lease_s),
+        tell,
+    )
+
+
 @pytest.mark.parametrize(
     ("codes", "code", "may_act"),
     [
@@ -53,16 +69,7 @@
 )
 async def test_a_refusal_after_a_lost_answer_proves_nothing(codes, code, may_act):
     told = []
-    session = WorkerSession(
-        "w0",
-        ScriptedWorker(*codes),
-        1,
-        QUICK,
-        WorkerClock(0, read_steady_s()),
-        lambda *_: 6.0,
-        lambda *_: 6.0,
-        told.append,
-    )
+    session = make_session(ScriptedWorker(*codes), tell=told.append)
     session.order_start(ORDER)
     async with asyncio.timeout(10):
         while not told:
@@ -88,15 +95,8 @@
 
 async def start_after_rest(worker: RecordingWorker, rest_s: float, lease_s: float):
     """Return the order that a session sends whose last answer is ``rest_s`` old."""
-    session = WorkerSession(
-        "w0",
-        worker,
-        1,
-        QUICK,
-        WorkerClock(0, read_steady_s() - rest_s),
-        lambda *_: lease_s,
-        lambda *_: lease_s,
-        lambda message: None,
+    session = make_session(
+        worker, clock=WorkerClock(0, read_steady_s() - rest_s), lease_s=lease_s
     )
     session.order_start(ORDER)
     async with asyncio.timeout(10):
@@ -128,15 +128,8 @@
 async def tell_start(worker, grants: list[float | None]) -> list[Message]:
     """Return what a session tells of a start for which leases are granted in turn."""
     told = []
-    session = WorkerSession(
-        "w0",
-        worker,
-        1,
-        QUICK,
-        WorkerClock(0, read_steady_s()),
-        lambda *_: 6.0,
-        lambda *_: grants.pop(0),
-        told.append,
+    session = make_session(
+        worker, tell=told.append, grant_start=lambda *_: grants.pop(0)
     )
     session.order_start(ORDER)
     async with asyncio.timeout(10):
@@ -178,16 +171,7 @@
 async def test_a_lease_is_not_renewed_after_silence_until_an_answer():
     # What had no answer may have been done: a second one would not end in time.
     worker = MuteWorker()
-    session = WorkerSession(
-        "w0",
-        worker,
-        1,
-        QUICK,
-        WorkerClock(0, read_steady_s()),
-        lambda *_: 6.0,
-        lambda *_: 6.0,
-        lambda message: None,
-    )
+    session = make_session(worker)
     await session.start()
     async with asyncio.timeout(10):
         while len(worker.calls) < 3:
@@ -201,15 +185,8 @@
     rest_s = 600.0
     worker = RecordingWorker(clock_ms=int(rest_s * 1000))
     told = []
-    session = WorkerSession(
-        "w0",
-        worker,
-        1,
-        QUICK,
-        WorkerClock(0, read_steady_s() - rest_s),
-        lambda *_: 6.0,
-        lambda *_: 6.0,
-        told.append,
+    session = make_session(
+        worker, tell=told.append, clock=WorkerClock(0, read_steady_s() - rest_s)
     )
     for _ in range(3):
         session.order_start(ORDER)
@@ -223,16 +200,7 @@
 async def test_a_worker_whose_clock_is_unknown_is_asked_without_a_wait():
     # It is off the list and reached by its address alone: its lease runs out.
     worker = MuteWorker()
-    session = WorkerSession(
-        "w0",
-        worker,
-        1,
-        QUICK,
-        WorkerClock(),
-        lambda *_: 6.0,
-        lambda *_: 6.0,
-        lambda message: None,
-    )
+    session = make_session(worker, clock=WorkerClock())
     await session.start()
     async with asyncio.timeout(10):
         while len(worker.calls) < 3:
