Measure decisions in which many urgent gangs claim room

Cause: the benchmark of decisions had no urgent work and never showed what a burst of it costs the owner.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 
+from measure.claims import print_claims
 from measure.control import print_control
 from measure.costs import print_costs
 from measure.fleet import print_fleet
@@ -18,6 +19,7 @@
     "control": print_control,
     "urgent": print_urgent,
     "fleet": print_fleet,
+    "claims": print_claims,
 }
 
 
