Choose whom to stop by worker, and stop what loses least

Cause: each urgent claim listed every running task and searched its rack anew for each victim; on 270 workers 30 gangs took 1.9 s in one step, in which nothing else is answered. Guaranteed gangs stopped urgent ones that were in time, stops of work that keeps its progress were priced by all that it had done since its last checkpoint, and rooms of wide gangs never came together. Gangs run at the pace of their slowest worker, and a third of the workers take 1.3 times as long; only the mean of a rack was learnt. Change: costs of room by worker and need, kept within a pass; four claims a pass, the next pass at once; a pause after a claim that found nothing. A stop of checkpointed work costs its restore. Urgent work that would be late is the last victim. Workers stay reserved for a waiting gang from pass to pass. Speeds by worker, from tasks of one step. Members of a gang that has ended are not stopped.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -207,6 +207,8 @@
                 return
             began_s, _ = _get_times()
             self._step()
+            if self.scheduler.has_more:
+                self._wake.set()
             took_s = _get_times()[0] - began_s
             # What comes meanwhile is taken together, so that deciding leaves most
             # of the processor to callers and workers.
--- a/src/larkhoist/control/scheduler_node.py
+++ b/src/larkhoist/control/scheduler_node.py
@@ -206,6 +206,7 @@
             lease_s=self._settings.lease_s,
             predecessor_s=self._tenure_times.predecessor_s,
             stop_s=self._settings.stop_s,
+            restore_s=self._settings.restore_s,
         )
         roster = RosterKeeper(self._decode_worker)
         roster_follower = StreamFollower(
--- a/src/larkhoist/control/settings.py
+++ b/src/larkhoist/control/settings.py
@@ -12,7 +12,8 @@
 
     ``lease_s`` is the longest lease that workers grant, ``apply_s`` how soon a
     configuration must be in force, ``drain_s`` how long a stop of
-    an instance may take, ``stop_s`` how long a worker may take to stop a task.
+    an instance may take, ``stop_s`` how long a worker may take to stop a task,
+    ``restore_s`` how long a task takes to go on from its checkpoint.
     ``keep_s`` is how long an ended job is kept for callers.
     ``cores`` is the processor that the instance may use.
     """
@@ -25,6 +26,7 @@
     apply_s: Positive = 2.0
     drain_s: Positive = 6.0
     stop_s: Positive = 0.9
+    restore_s: Positive = 0.25
     keep_s: Positive = 180.0
     cores: Positive = 1.0
     log: LogSettings = LogSettings()
--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -5,9 +5,10 @@
 import msgspec
 
 from larkhoist.fleet.placing import (
+    WorkerGroup,
+    WorkerGroups,
     count_capacity,
     find_places,
-    group_workers,
     list_eligible,
 )
 from larkhoist.fleet.ranking import Rank, Tier, rank_phase
@@ -26,10 +27,17 @@
 __all__ = ["place_waiting"]
 
 PACE_STEP = math.log(1.2)
-"""Racks whose times differ by less than this count as equally fast; a guess."""
+"""Workers whose times differ by less than this count as equally fast; a guess."""
 TOO_LITTLE_ROOM = "too little room"
-MAX_RESERVATIONS = 2
-"""How many waiting gangs keep workers to themselves at once; a guess."""
+CLAIMS_PER_PASS = 4
+"""How many phases look for victims in one pass; the rest do in the next, at once.
+
+Bounds the time in which the owner answers nobody: 100 gangs that claim room together
+took 3.6 s in one step on 270 workers, a search takes some 3 ms (``make measure``).
+"""
+CLAIM_PAUSE_S = 0.25
+"""How long a phase waits that found no victims worth it; meanwhile work ends and
+frees room, and others that wait are looked at."""
 
 
 class _Waiting(msgspec.Struct, frozen=True):
@@ -65,11 +73,11 @@
         self.state = state
         self.now_s = now_s
         self.room_maker = RoomMaker(state, now_s)
-        self.reserved: set[str] = set()
-        self.reservations = 0
+        self.claims_left = CLAIMS_PER_PASS
+        self.unfinished = False
         self.failed: set[_Shape] = set()
         self._fitting: dict[Resources, int] = {}
-        self._eligible: dict[tuple, list[FleetWorker]] = {}
+        self._eligible: dict[tuple, WorkerGroups] = {}
         self.usable = [
             worker
             for worker in state.workers.values()
@@ -93,6 +101,10 @@
             if phase.plan or phase.get_waiting():
                 waiting.append(_Waiting(self._rank(active, phase), active, phase))
         waiting.sort(key=lambda one: one.rank)
+        self.state.reservations.keep_only(
+            {one.phase.id for one in waiting if one.rank.tier <= Tier.LATE},
+            {worker.name for worker in self.usable},
+        )
         for one in waiting:
             self._place(one.rank, one.active, one.phase)
 
@@ -102,36 +114,51 @@
 
     def _place(self, rank: Rank, active: ActiveJob, phase: Phase) -> None:
         tier = rank.tier
-        if phase.plan and not self.room_maker.start_planned(phase):
-            self._start_elsewhere(tier, active, phase)
+        if phase.plan:
+            if self.room_maker.start_planned(phase):
+                # A plan that was lost gives room back, which found none may use now.
+                self.failed.clear()
+            else:
+                self._start_elsewhere(tier, active, phase)
         if phase.plan or not phase.get_waiting():
             return
         policy = self.state.policy
         waited_s = self.now_s - phase.waiting_since_s
         anywhere = self.mostly_idle and waited_s >= policy.idle_wait_s
-        may_reserve = phase.spec.gang and self._may_reserve(tier, waited_s)
+        may_reserve = phase.spec.gang and self._may_reserve(tier, phase, waited_s)
         if tier > Tier.URGENT and not may_reserve and not self._may_fit(phase):
             self._note_wait(phase, TOO_LITTLE_ROOM, tier, self.usable)
             return
-        workers = self._list_workers(tier, anywhere, active, phase)
-        reason = self._start(tier, anywhere, active, phase, workers)
+        groups = self._get_groups(tier, anywhere, active, phase)
+        reason = self._start(tier, anywhere, active, phase, groups)
         if not reason:
             phase.wait_reasons.clear()
             return
-        self._note_wait(phase, reason, tier, workers)
+        self._note_wait(phase, reason, tier, groups.whole.workers)
         if reason != TOO_LITTLE_ROOM:
             return
         if tier <= Tier.URGENT:
-            self.room_maker.make_room(active, phase, workers, rank.order)
+            self._claim(rank, active, phase, groups)
         elif may_reserve:
-            self._reserve(phase, workers)
+            self._reserve(active, phase, groups)
+
+    def _claim(self, rank: Rank, active: ActiveJob, phase: Phase, groups) -> None:
+        """Look for victims, unless the phase or the pass has to wait with that."""
+        if self.now_s < phase.claim_again_s:
+            return
+        if not self.claims_left:
+            self.unfinished = True
+            return
+        self.claims_left -= 1
+        if not self.room_maker.make_room(active, phase, groups, rank.order):
+            phase.claim_again_s = self.now_s + CLAIM_PAUSE_S
 
-    def _start(self, tier, anywhere, active, phase, workers) -> str:
+    def _start(self, tier, anywhere, active, phase, groups) -> str:
         """Start what finds room; return why something is left, empty if nothing."""
         count = len(phase.get_waiting())
         if not self.mostly_idle:
             count = min(count, self._count_allowed(active, phase, count))
-        if not workers:
+        if not groups.whole.workers:
             return "no worker may run it"
         if count == 0 or phase.spec.gang and count < len(phase.tasks):
             return "guarantees need the room"
@@ -139,13 +166,26 @@
         shape = _get_shape(active, phase, tier, anywhere, count)
         if shape in self.failed:
             return TOO_LITTLE_ROOM
-        places = self._find_places(workers, tier, phase, count, anywhere=anywhere)
+        places = self._find_unreserved(groups, tier, phase, count, anywhere=anywhere)
+        if not places:
+            places = self._find_places(groups, tier, phase, count, anywhere=anywhere)
         if places:
             self._assign(active, phase, places)
-        elif tier > Tier.URGENT:
+        else:
             self.failed.add(shape)
         return TOO_LITTLE_ROOM if phase.get_waiting() else ""
 
+    def _find_unreserved(
+        self, groups: WorkerGroups, tier: Tier, phase: Phase, count: int, *, anywhere
+    ) -> list[str]:
+        """Look for room beside what is reserved; urgent work may go there too."""
+        if tier > Tier.URGENT or not len(self.state.reservations):
+            return []
+        is_open_to = self.state.reservations.is_open_to
+        workers = [w for w in groups.whole.workers if is_open_to(w.name, phase.id)]
+        rest = WorkerGroups(workers)
+        return self._find_places(rest, tier, phase, count, anywhere=anywhere)
+
     def _start_elsewhere(self, tier: Tier, active: ActiveJob, phase: Phase) -> None:
         """Start a phase that waits for stops where all of it finds room by now.
 
@@ -155,26 +195,26 @@
         """
         plan = dict(phase.plan)
         self.state.drop_plan(phase)
-        workers = self._list_workers(tier, False, active, phase)
-        places = self._find_places(workers, tier, phase, len(plan), anywhere=False)
+        groups = self._get_groups(tier, False, active, phase)
+        places = self._find_places(groups, tier, phase, len(plan), anywhere=False)
         if len(places) == len(plan):
             self._assign(active, phase, places)
         else:
             self.state.keep_plan(phase, plan)
 
     def _find_places(
-        self, workers, tier: Tier, phase: Phase, count: int, *, anywhere: bool
+        self, groups: WorkerGroups, tier: Tier, phase: Phase, count: int, *, anywhere
     ) -> list[str]:
-        groups = [workers]
+        wanted = [groups.whole]
         if not anywhere:
-            groups = group_workers(workers, phase.spec, len(phase.tasks))
+            wanted = groups.list_groups(phase.spec, len(phase.tasks))
         return find_places(
-            groups,
+            wanted,
             phase.spec,
             count,
             phase.count_taken(),
             lambda worker: worker.free,
-            self._get_pace if tier <= Tier.URGENT else None,
+            self._get_pace if tier <= Tier.URGENT or phase.spec.gang else None,
         )
 
     def _may_fit(self, phase: Phase) -> bool:
@@ -190,7 +230,8 @@
         return fitting >= (len(phase.tasks) if phase.spec.gang else 1)
 
     def _get_pace(self, worker: FleetWorker) -> int:
-        return round(math.log(self.state.speeds.get_factor(worker.rack)) / PACE_STEP)
+        factor = self.state.speeds.get_factor(worker.name)
+        return round(math.log(factor) / PACE_STEP)
 
     def _note_wait(self, phase: Phase, reason: str, tier, workers) -> None:
         if reason in phase.wait_reasons:
@@ -207,10 +248,11 @@
             eligible_workers=len(workers),
             free_accelerators=sum(w.free.accelerators for w in workers),
             borrowable=self.room_without_checkpoints,
-            reserved_workers=len(self.reserved),
+            reserved_workers=len(self.state.reservations),
         )
 
     def _assign(self, active: ActiveJob, phase: Phase, places: list[str]) -> None:
+        self.state.reservations.drop(phase.id)
         chosen = phase.get_waiting()[: len(places)]
         taken = phase.spec.accelerators * len(places)
         self.open_accelerators -= taken
@@ -219,26 +261,28 @@
         by_index = {task.index: name for task, name in zip(chosen, places, strict=True)}
         self.state.assign(phase, by_index, self.now_s)
 
-    def _list_workers(self, tier, anywhere, active, phase) -> list[FleetWorker]:
-        workers = self._list_eligible(active.job.terms.service, phase)
+    def _get_groups(self, tier, anywhere, active, phase) -> WorkerGroups:
+        """Return the workers that the phase may go to now."""
+        groups = self._get_eligible(active.job.terms.service, phase)
+        workers = groups.whole.workers
+        reservations = self.state.reservations
+        if len(reservations) and not anywhere and tier > Tier.URGENT:
+            workers = [w for w in workers if reservations.is_open_to(w.name, phase.id)]
         failed = {name for task in phase.tasks for name in task.failed_on}
-        kept = [
-            worker
-            for worker in workers
-            if (anywhere or tier <= Tier.URGENT or worker.name not in self.reserved)
-        ]
-        if not failed:
-            return kept
-        others = [worker for worker in kept if worker.name not in failed]
-        room = count_capacity(others, phase.spec)
-        # Where a task failed it is tried again only if the rest is too small.
-        return others if room >= len(phase.tasks) else kept
-
-    def _list_eligible(self, service: str, phase: Phase) -> list[FleetWorker]:
+        if failed:
+            others = [worker for worker in workers if worker.name not in failed]
+            # Where a task failed it is tried again only if the rest is too small.
+            if count_capacity(others, phase.spec) >= len(phase.tasks):
+                workers = others
+        if len(workers) == len(groups.whole.workers):
+            return groups
+        return WorkerGroups(workers)
+
+    def _get_eligible(self, service: str, phase: Phase) -> WorkerGroups:
         key = (service, phase.spec.label, phase.need)
         found = self._eligible.get(key)
         if found is None:
-            found = list_eligible(self.usable, service, phase.spec)
+            found = WorkerGroups(list_eligible(self.usable, service, phase.spec))
             self._eligible[key] = found
         return found
 
@@ -257,26 +301,55 @@
 
     # Room that is kept for gangs that wait.
 
-    def _may_reserve(self, tier: Tier, waited_s: float) -> bool:
-        patience_s = self.state.policy.gang_patience_s
-        few = self.reservations < MAX_RESERVATIONS
-        return tier <= Tier.LATE and waited_s >= patience_s and few
-
-    def _reserve(self, phase: Phase, workers: list[FleetWorker]) -> None:
-        self.reservations += 1
-        groups = group_workers(workers, phase.spec, len(phase.tasks))
-        group = max(groups, key=lambda g: sum(w.free.accelerators for w in g))
-        room = 0
-        for worker in sorted(group, key=lambda w: -w.free.accelerators):
-            if room >= len(phase.tasks):
-                break
-            room += worker.capacity.count_fitting(phase.need)
-            self.reserved.add(worker.name)
-
-
-def place_waiting(state: FleetState, guarantees: dict[str, int], now_s: float) -> None:
-    """Start what can start, make room for what is urgent."""
-    _Pass(state, guarantees, now_s).run()
+    def _may_reserve(self, tier: Tier, phase: Phase, waited_s: float) -> bool:
+        return (
+            tier <= Tier.LATE
+            and waited_s >= self.state.policy.reserve_after_s
+            and self.state.reservations.get(phase.id) is None
+        )
+
+    def _reserve(self, active, phase: Phase, groups: WorkerGroups) -> None:
+        wanted = groups.list_groups(phase.spec, len(phase.tasks))
+        most = int(self.state.policy.reserved_share * len(self.usable))
+        reservations = self.state.reservations
+        kept = reservations.reserve(self.state, phase, wanted, most, self.now_s)
+        if kept is None:
+            return
+        self.state.note(
+            "reserved",
+            job=phase.id.job_id,
+            step=phase.id.step,
+            workers=len(kept.workers),
+            expected_s=round(kept.free_s - self.now_s, 3),
+        )
+        for name in sorted(kept.workers):
+            self._clear(active, self.state.workers[name])
+
+    def _clear(self, active, worker: FleetWorker) -> None:
+        """Stop what is less urgent and keeps its progress."""
+        for other, task in self.state.list_tasks_on(worker):
+            holder = self.state.jobs[other.id.job_id]
+            if holder.priority <= active.priority or not other.spec.checkpoints:
+                continue
+            self.state.stop(other, task, self.now_s)
+            if other.spec.gang:
+                for member in other.tasks:
+                    self.state.stop(other, member, self.now_s)
+                other.closing = True
+
+
+def place_waiting(state: FleetState, guarantees: dict[str, int], now_s: float) -> bool:
+    """Start what can start, make room for what is urgent.
+
+    Returns whether claims are left for a next pass, which may follow at once.
+    """
+    one = _Pass(state, guarantees, now_s)
+    one.run()
+    return one.unfinished
+
+
+def _count_free(group: WorkerGroup) -> int:
+    return sum(worker.free.accelerators for worker in group.workers)
 
 
 def _get_shape(
--- a/src/larkhoist/fleet/placing.py
+++ b/src/larkhoist/fleet/placing.py
@@ -4,14 +4,20 @@
 free for those that need them.
 """
 
-from collections import defaultdict
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from larkhoist.fleet.worker import FleetWorker
 from larkhoist.jobs.spec import StepSpec
 from larkhoist.ports.fleet import Resources
 
-__all__ = ["count_capacity", "find_places", "group_workers", "list_eligible"]
+__all__ = [
+    "WorkerGroup",
+    "WorkerGroups",
+    "count_capacity",
+    "find_places",
+    "list_eligible",
+]
 
 GetFree = Callable[[FleetWorker], Resources]
 GetPace = Callable[[FleetWorker], int]
@@ -31,28 +37,58 @@
     ]
 
 
-def group_workers(
-    workers: list[FleetWorker], spec: StepSpec, count: int
-) -> list[list[FleetWorker]]:
-    """Return the sets of workers that the step should run on, each on its own.
-
-    Data elsewhere and a gang on several racks make the step several times as
-    slow, so that it waits for a rack as long as one could hold it when empty.
-    """
-    near = [worker for worker in workers if worker.rack == spec.data_rack]
-    if spec.data_rack and count_capacity(near, spec) >= (count if spec.gang else 1):
-        return [near]
-    if not spec.same_rack:
-        return [workers]
-    racks: dict[str, list[FleetWorker]] = defaultdict(list)
-    for worker in workers:
-        racks[worker.rack].append(worker)
-    groups = [g for g in racks.values() if count_capacity(g, spec) >= count]
-    return groups or [workers]
+@dataclass(eq=False, slots=True)
+class WorkerGroup:
+    """Hold workers that a step may run on together, compared by identity."""
+
+    workers: list[FleetWorker]
+
+
+class WorkerGroups:
+    """Hold workers that may run a step, by rack; for one need and one pass."""
+
+    def __init__(self, workers: list[FleetWorker]):
+        self.whole = WorkerGroup(workers)
+        self._racks: dict[str, WorkerGroup] | None = None
+        self._capacities: dict[WorkerGroup, int] = {}
+
+    def list_groups(self, spec: StepSpec, count: int) -> list[WorkerGroup]:
+        """Return the sets of workers that the step should run on, each on its own.
+
+        Data elsewhere and a gang on several racks make the step several times as
+        slow, so that it waits for a rack as long as one could hold it when empty.
+        """
+        if spec.data_rack:
+            near = self._get_racks().get(spec.data_rack)
+            wanted = count if spec.gang else 1
+            if near is not None and self._get_capacity(near, spec) >= wanted:
+                return [near]
+        if not spec.same_rack:
+            return [self.whole]
+        racks = self._get_racks().values()
+        groups = [one for one in racks if self._get_capacity(one, spec) >= count]
+        return groups or [self.whole]
+
+    def _get_racks(self) -> dict[str, WorkerGroup]:
+        if self._racks is None:
+            self._racks = {}
+            for worker in self.whole.workers:
+                group = self._racks.get(worker.rack)
+                if group is None:
+                    group = self._racks[worker.rack] = WorkerGroup([])
+                group.workers.append(worker)
+        return self._racks
+
+    def _get_capacity(self, group: WorkerGroup, spec: StepSpec) -> int:
+        if spec.spread_limit:
+            return count_capacity(group.workers, spec)
+        if group not in self._capacities:
+            self._capacities[group] = count_capacity(group.workers, spec)
+        return self._capacities[group]
 
 
 def find_places(
-    groups: list[list[FleetWorker]],
+    groups: list[WorkerGroup],
     spec: StepSpec,
     count: int,
     taken: dict[str, int],
@@ -61,24 +97,32 @@
 ) -> list[str]:
     """Return workers for up to ``count`` tasks; all of them or none for a gang.
 
-    With ``get_pace``, of several groups those of a lower pace go first.
-
-    ``taken`` counts the tasks of the phase that are on a worker already.
+    ``get_pace`` says in which order workers are taken, the lowest first; groups go by
+    the highest pace among the workers that are taken there. ``taken`` counts the tasks
+    of the phase that are on a worker already.
     """
     best: list[str] = []
     best_key = (0, 0, 0)
     for group in groups:
-        places, left = _fill(group, spec, count, taken, get_free)
-        if spec.gang and len(places) < count:
+        found = _fill(group.workers, spec, count, taken, get_free, get_pace)
+        if spec.gang and len(found.places) < count:
             continue
-        pace = get_pace(group[0]) if get_pace is not None and group else 0
-        key = (-len(places), pace, left)
-        if places and (not best or key < best_key):
-            best, best_key = places, key
+        key = (-len(found.places), found.pace, found.left)
+        if found.places and (not best or key < best_key):
+            best, best_key = found.places, key
     return best
 
 
-def _fill(group, spec, count, taken, get_free) -> tuple[list[str], int]:
+@dataclass(frozen=True, slots=True)
+class _Filled:
+    """Hold places in one group, their highest pace, the accelerators left there."""
+
+    places: list[str]
+    pace: int
+    left: int
+
+
+def _fill(group, spec, count, taken, get_free, get_pace) -> _Filled:
     rooms = []
     need = spec.need
     for worker in group:
@@ -87,15 +131,19 @@
         if spec.spread_limit:
             fitting = min(fitting, spec.spread_limit - taken.get(worker.name, 0))
         if fitting > 0:
-            rooms.append((free.accelerators, free.cpu_milli, worker.name, fitting))
+            pace = get_pace(worker) if get_pace is not None else 0
+            room = (pace, free.accelerators, free.cpu_milli, worker.name, fitting)
+            rooms.append(room)
     rooms.sort()
     places: list[str] = []
-    for _, _, name, fitting in rooms:
+    slowest = 0
+    for pace, _, _, name, fitting in rooms:
         places += [name] * min(fitting, count - len(places))
+        slowest = pace
         if len(places) == count:
             break
-    left = sum(room[0] for room in rooms) - len(places) * spec.accelerators
-    return places, left
+    left = sum(room[1] for room in rooms) - len(places) * spec.accelerators
+    return _Filled(places, slowest, left)
 
 
 def count_capacity(workers: list[FleetWorker], spec: StepSpec) -> int:
--- a/src/larkhoist/fleet/policy.py
+++ b/src/larkhoist/fleet/policy.py
@@ -24,11 +24,22 @@
     A worker that refuses a start gets no other for ``refused_pause_s``, twice as
     long with each refusal in a row, at most ``longest_refused_pause_s``.
 
+    Work that keeps its progress is saved at a stop as well: stopping it costs
+    ``restore_s`` of work at the most. Gains 0.034 of worth (standard error 0.013, 36
+    days in pairs on the replay of load).
+
     Urgent work beyond a guarantee may throw away ``timely_work_ratio`` times its
     own work where it is still in time after the stops, else ``late_work_ratio``: by
     the users' prices it earns some 3.6 times what redoing as much work costs, and a
     fifth of that when late.
 
+    As much is counted as lost where urgent work itself is stopped for guarantees.
+
+    A gang that has waited for ``reserve_after_s`` gets workers of its own, as long as
+    not more than ``reserved_share`` of all are reserved: beyond, what they leave idle
+    costs more than the gangs earn (+0.012 of worth at 0.15, standard error 0.007,
+    -0.003 to -0.008 at 0.3 and 0.5, 42 days in pairs on the replay of load).
+
     While less than ``idle_share`` of the workers' room is used, guarantees keep
     nobody waiting, and nothing waits for longer than ``idle_wait_s`` for a better
     place; the users allow 3 s at half of the room.
@@ -40,7 +51,6 @@
     departing_lease_s: float = 2.0
     unlisted_patience_s: float = 2.5
     resend_stop_s: float = 0.7
-    gang_patience_s: float = 2.0
     full_pause_s: float = 0.5
     refused_pause_s: float = 0.5
     longest_refused_pause_s: float = 4.0
@@ -50,6 +60,9 @@
     idle_share: float = 0.5
     idle_wait_s: float = 2.4
     late_ratio: float = 3.0
+    restore_s: float = 0.25
+    reserve_after_s: float = 0.5
+    reserved_share: float = 0.15
 
     @property
     def lapse_s(self) -> float:
--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -21,6 +21,9 @@
     "take_worker_gone",
 ]
 
+LEAST_PEERS = 3
+"""How many tasks of a step must have ended before another is compared with them."""
+
 
 def take_report(
     state: FleetState,
@@ -181,8 +184,8 @@
     if task.state is TaskState.RUNNING and not task.checkpoint:
         queue = state.jobs[phase.id.job_id].job.queue
         took_s = now_s - task.began_s
-        expected_s = state.runtimes.predict(queue, phase.spec.estimate_ms)
-        state.speeds.note(worker.rack, took_s, expected_s)
+        if not phase.spec.gang:
+            _note_speed(state, phase, worker, took_s)
         state.runtimes.note(queue, took_s)
     if phase.spec.long_running:
         state.release(phase, task, EndListed(EndKind.DONE), now_s)
@@ -194,6 +197,14 @@
     phase.closing = False
 
 
+def _note_speed(state, phase: Phase, worker: FleetWorker, took_s: float) -> None:
+    """Compare a task with those of its step that ended before, on other workers."""
+    factor = state.speeds.get_factor(worker.name)
+    if phase.peers.count >= LEAST_PEERS:
+        state.speeds.note(worker.name, took_s, phase.peers.mean_s)
+    phase.peers.note(took_s / factor)
+
+
 def _take_failed(state, worker, phase, task, ended, now_s, now_ms) -> None:
     job = state.jobs[phase.id.job_id]
     members = phase.tasks if phase.spec.gang else [task]
@@ -216,7 +227,8 @@
 def _take_running(state, worker, running: RunningTask, now_s: float) -> None:
     found = state.find_task(running.task, running.attempt)
     if found is None or found[1].worker != worker.name:
-        _stop_stray(state, worker, running, now_s)
+        if not _has_just_ended(state, running):
+            _stop_stray(state, worker, running, now_s)
         return
     phase, task = found
     if task.state is TaskState.STARTING:
@@ -228,6 +240,19 @@
         _keep_checkpoint(phase, task, running.checkpoint)
 
 
+def _has_just_ended(state: FleetState, running: RunningTask) -> bool:
+    """Tell whether a gang's end, listed elsewhere, has overtaken this report.
+
+    Its members end by themselves; they were stopped 171 times beside 4,340 other stops
+    in one day of 270 workers.
+    """
+    found = state.find(running.task)
+    if found is None:
+        return False
+    phase, task = found
+    return phase.spec.gang and phase.is_done and task.attempt == running.attempt
+
+
 def _stop_stray(state, worker, running: RunningTask, now_s: float) -> None:
     state.note(
         "stray-stopped",
--- a/src/larkhoist/fleet/room_maker.py
+++ b/src/larkhoist/fleet/room_maker.py
@@ -1,10 +1,10 @@
 """Make room for urgent phases by stopping others, and keep it until it is free."""
 
-from larkhoist.fleet.placing import group_workers
-from larkhoist.fleet.preemption import Victim, choose_victims, list_victims
+from larkhoist.fleet.placing import WorkerGroups
+from larkhoist.fleet.preemption import VictimIndex, make_claim
 from larkhoist.fleet.state import FleetState
-from larkhoist.fleet.task import CORES_PER_ACCELERATOR, ActiveJob, Phase
-from larkhoist.fleet.worker import FleetWorker
+from larkhoist.fleet.task import ActiveJob, Phase
+from larkhoist.fleet.victim import Victim
 
 __all__ = ["RoomMaker"]
 
@@ -15,38 +15,39 @@
     def __init__(self, state: FleetState, now_s: float):
         self._state = state
         self._now_s = now_s
+        self._victims: VictimIndex | None = None
 
     def make_room(
         self,
         active: ActiveJob,
         phase: Phase,
-        workers: list[FleetWorker],
+        groups: WorkerGroups,
         latest_s: float,
-    ) -> None:
-        """Stop what is worth it and keep the room.
+    ) -> bool:
+        """Stop what is worth it and keep the room; return whether there is any.
 
         ``latest_s`` is the latest start at which the phase is still in time.
         """
+        if self._victims is None:
+            self._victims = VictimIndex(self._state, self._now_s)
         count = len(phase.get_waiting())
-        victims = list_victims(
-            [other for _, other in self._state.iter_phases()],
-            lambda other: self._may_stop(active, other),
-            self._now_s,
-        )
         taken = phase.count_taken()
-        groups = group_workers(workers, phase.spec, len(phase.tasks))
-        found = choose_victims(groups, phase.spec, count, victims, taken)
-        if found is None and active.firm:
-            found = choose_victims([workers], phase.spec, count, victims, taken)
-        if found is None:
-            return
-        places, chosen = found
-        if not active.firm and not self._is_worth(phase, chosen, latest_s):
-            return
-        for victim in chosen:
+        claim = make_claim(active)
+        wanted = groups.list_groups(phase.spec, len(phase.tasks))
+        room = self._victims.find_room(wanted, phase.spec, count, taken, claim)
+        if room is None and active.firm:
+            wanted = [groups.whole]
+            room = self._victims.find_room(wanted, phase.spec, count, taken, claim)
+        if room is None:
+            return False
+        if not active.firm and not self._is_worth(phase, room.cost, latest_s):
+            return False
+        for victim in room.victims:
+            self._victims.drop(victim)
             self._stop_victim(phase, victim)
         waiting = [task.index for task in phase.get_waiting()]
-        self._state.keep_plan(phase, dict(zip(waiting, places, strict=True)))
+        self._state.keep_plan(phase, dict(zip(waiting, room.places, strict=True)))
+        return True
 
     def start_planned(self, phase: Phase) -> bool:
         """Start a phase for which room is kept, once the room is free.
@@ -69,20 +70,11 @@
         state.assign(phase, places, self._now_s)
         return True
 
-    def _may_stop(self, active: ActiveJob, other: Phase) -> bool:
-        holder = self._state.jobs[other.id.job_id]
-        if holder is active or holder.firm or other.spec.long_running:
-            return False
-        return holder.priority != 0 or active.firm
-
-    def _is_worth(self, phase: Phase, victims: list[Victim], latest_s: float) -> bool:
+    def _is_worth(self, phase: Phase, cost: float, latest_s: float) -> bool:
         policy = self._state.policy
-        cores = phase.spec.cpu_milli / 1000
-        cores += CORES_PER_ACCELERATOR * phase.spec.accelerators
-        work = cores * phase.spec.estimate_ms / 1000 * len(phase.tasks)
         timely = self._now_s + policy.stop_s <= latest_s
         ratio = policy.timely_work_ratio if timely else policy.late_work_ratio
-        return sum(victim.cost for victim in victims) <= work * ratio
+        return cost <= phase.work_core_s * ratio
 
     def _stop_victim(self, phase: Phase, victim: Victim) -> None:
         self._state.note(
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -43,6 +43,7 @@
         self._guarantees: dict[str, int] = {}
         self._began_s = began_s
         self._look_s = float("-inf")
+        self._has_more = False
         self._taken: set[str] = set()
         self._replaced: set[str] = set()
 
@@ -224,13 +225,18 @@
         self._check_leases(now_s)
         self._send_stops_again(now_s)
         self._end_finished(now_s, now_ms)
-        if state.changed or now_s >= self._look_s:
-            state.changed = False
+        if state.changed or self._has_more or now_s >= self._look_s:
             self._look_s = now_s + LOOK_INTERVAL_S
             mark_firm(state.jobs.values(), self._guarantees)
-            place_waiting(state, self._guarantees, now_s)
+            state.changed = False
+            self._has_more = place_waiting(state, self._guarantees, now_s)
         return state.take_round()
 
+    @property
+    def has_more(self) -> bool:
+        """Tell whether the last decision left work over for the next one."""
+        return self._has_more
+
     def list_unlisted(self) -> list[FleetWorker]:
         """Return the workers off the list that can be reached by their address."""
         workers = self.state.workers.values()
--- a/src/larkhoist/fleet/speeds.py
+++ b/src/larkhoist/fleet/speeds.py
@@ -1,13 +1,21 @@
-"""Learn how fast racks are from how long the tasks of one queue took there."""
+"""Learn how fast workers are from how long tasks of one step took on each.
+
+Answers workers of unequal speed: a gang runs at the pace of its slowest member, so
+that one slow worker in three makes nearly every gang of five slow.
+"""
 
 import math
 from dataclasses import dataclass
 
-__all__ = ["RackSpeeds"]
+__all__ = ["WorkerSpeeds"]
 
-LEAST_WEIGHT = 0.1
-PRIOR_SAMPLES = 4.0
-"""How many samples a rack needs to be believed half."""
+LEAST_WEIGHT = 0.15
+"""A worker that turns slow for some seconds is known after some three tasks."""
+PRIOR_SAMPLES = 1.5
+"""How many samples a worker needs to be believed half: equal tasks of one step differ
+by some 15 %, the workers by 30 %."""
+LARGEST_SAMPLE = math.log(4)
+"""A task that stood still for a while says little of the worker's pace."""
 
 
 @dataclass(slots=True)
@@ -18,24 +26,30 @@
     count: int = 0
 
 
-class RackSpeeds:
-    """Keep by which factor tasks take longer in a rack than elsewhere."""
+class WorkerSpeeds:
+    """Keep by which factor tasks take longer on a worker than elsewhere."""
 
     def __init__(self):
-        self._racks: dict[str, _Mean] = {}
+        self._workers: dict[str, _Mean] = {}
 
-    def note(self, rack: str, took_s: float, expected_s: float) -> None:
-        """Take the time of a task against what its queue's tasks take."""
+    def note(self, worker: str, took_s: float, expected_s: float) -> None:
+        """Take the time of a task against what its peers took elsewhere."""
         if took_s <= 0 or expected_s <= 0:
             return
-        mean = self._racks.setdefault(rack, _Mean())
+        sample = math.log(took_s / expected_s)
+        sample = max(-LARGEST_SAMPLE, min(LARGEST_SAMPLE, sample))
+        mean = self._workers.setdefault(worker, _Mean())
         mean.count += 1
         weight = max(LEAST_WEIGHT, 1 / mean.count)
-        mean.value += weight * (math.log(took_s / expected_s) - mean.value)
+        mean.value += weight * (sample - mean.value)
 
-    def get_factor(self, rack: str) -> float:
-        """Return the factor of a rack, 1 where nothing is known."""
-        mean = self._racks.get(rack)
+    def get_factor(self, worker: str) -> float:
+        """Return the factor of a worker, 1 where nothing is known."""
+        mean = self._workers.get(worker)
         if mean is None:
             return 1.0
         return math.exp(mean.value * mean.count / (mean.count + PRIOR_SAMPLES))
+
+    def forget(self, worker: str) -> None:
+        """Drop what is known of a worker that is gone."""
+        self._workers.pop(worker, None)
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -18,8 +18,9 @@
     StartRefused,
     describe_proof,
 )
+from larkhoist.fleet.reservations import Reservations
 from larkhoist.fleet.runtimes import QueueRuntimes
-from larkhoist.fleet.speeds import RackSpeeds
+from larkhoist.fleet.speeds import WorkerSpeeds
 from larkhoist.fleet.task import ActiveJob, Phase, Task, TaskState, create_phase
 from larkhoist.fleet.worker import FleetWorker
 from larkhoist.jobs.book import BookEntry
@@ -37,10 +38,11 @@
         self.workers: dict[str, FleetWorker] = {}
         self.jobs: dict[str, ActiveJob] = {}
         self.runtimes = QueueRuntimes()
-        self.speeds = RackSpeeds()
+        self.speeds = WorkerSpeeds()
         self.quarantine = Quarantine()
         self.doubts = HallDoubts()
         self.urgent_demand = UrgentDemand()
+        self.reservations = Reservations()
         self.round = Round()
         self.changed = True
         self.over_by_proof: Counter[str] = Counter()
@@ -104,6 +106,10 @@
             return None
         return found
 
+    def find(self, name: str) -> tuple[Phase, Task] | None:
+        """Return a task, whatever its state."""
+        return self._tasks.get(name)
+
     def find_waiting(self, name: str, attempt: int) -> tuple[Phase, Task] | None:
         """Return the task whose newest attempt this is and that waits for a next one.
 
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -63,6 +63,19 @@
         return max(0.0, now_s - max(self.began_s, self.saved_s))
 
 
+@dataclass(slots=True)
+class PeerTimes:
+    """Hold the mean time of the tasks of a step that are done, in seconds."""
+
+    count: int = 0
+    mean_s: float = 0.0
+
+    def note(self, took_s: float) -> None:
+        """Take the time of one more task."""
+        self.count += 1
+        self.mean_s += (took_s - self.mean_s) / self.count
+
+
 @dataclass(slots=True)
 class Phase:
     """Hold one step of one run; a gang that is ``closing`` waits for its members.
@@ -70,7 +83,8 @@
     ``failed_attempt`` is the last attempt of a gang whose failure was counted.
 
     ``plan`` holds the workers whose room is kept while others stop there,
-    ``wait_reasons`` what was logged of why the phase waits.
+    ``wait_reasons`` what was logged of why the phase waits. Until ``claim_again_s`` it
+    looks for no victims. ``peers`` holds how long its tasks took.
     """
 
     id: PhaseId
@@ -82,6 +96,8 @@
     failed_attempt: int = 0
     plan: dict[int, str] = field(default_factory=dict)
     wait_reasons: set[str] = field(default_factory=set)
+    claim_again_s: float = float("-inf")
+    peers: PeerTimes = field(default_factory=PeerTimes)
     need: Resources = field(init=False)
 
     def __post_init__(self):
@@ -113,11 +129,24 @@
                 taken[task.worker] = taken.get(task.worker, 0) + 1
         return taken
 
-    def get_cost(self, tasks: list[Task], now_s: float) -> float:
+    @property
+    def cores(self) -> float:
+        """Return what one task takes, an accelerator counted as several cores."""
+        return (
+            self.spec.cpu_milli / 1000 + CORES_PER_ACCELERATOR * self.spec.accelerators
+        )
+
+    @property
+    def work_core_s(self) -> float:
+        """Return the declared work of all tasks, in core-seconds."""
+        return self.cores * self.spec.estimate_ms / 1000 * len(self.tasks)
+
+    def get_cost(self, tasks: list[Task], now_s: float, restore_s: float) -> float:
         """Return what stopping ``tasks`` throws away, in core-seconds."""
-        cores = self.spec.cpu_milli / 1000
-        cores += CORES_PER_ACCELERATOR * self.spec.accelerators
-        return cores * sum(task.get_unsaved_s(now_s) for task in tasks)
+        lost_s = [task.get_unsaved_s(now_s) for task in tasks]
+        if self.spec.checkpoints:
+            lost_s = [min(one, restore_s) for one in lost_s]
+        return self.cores * sum(lost_s)
 
     def make_progress(self) -> PhaseProgress:
         """Return what the log must keep."""
--- /dev/null
+++ b/src/larkhoist/fleet/victim.py
@@ -0,0 +1,52 @@
+"""Hold what may be stopped so that something more pressing finds room."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from larkhoist.fleet.state import FleetState
+from larkhoist.fleet.task import ActiveJob, Phase, Task, TaskState
+
+__all__ = ["Victim", "iter_victims"]
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Victim:
+    """Hold tasks that are stopped together; ``cost`` is in core-seconds.
+
+    ``priority`` is that of their job.
+    """
+
+    phase: Phase
+    tasks: tuple[Task, ...]
+    cost: float
+    priority: int
+
+    @property
+    def workers(self) -> set[str]:
+        """Return the workers that the tasks run on."""
+        return {task.worker for task in self.tasks}
+
+
+def iter_victims(state: FleetState, now_s: float) -> Iterator[Victim]:
+    """Yield what may be stopped at all: single tasks, or gangs as a whole."""
+    for active, phase in state.iter_phases():
+        if active.firm or active.ended or phase.spec.long_running:
+            continue
+        running = [
+            task
+            for task in phase.tasks
+            if task.state in (TaskState.STARTING, TaskState.RUNNING)
+        ]
+        if not running:
+            continue
+        lateness = _get_lateness_cost(state, active, phase)
+        for unit in [running] if phase.spec.gang else [[task] for task in running]:
+            cost = phase.get_cost(unit, now_s, state.policy.restore_s) + lateness
+            yield Victim(phase, tuple(unit), cost, active.priority)
+
+
+def _get_lateness_cost(state: FleetState, active: ActiveJob, phase: Phase) -> float:
+    """Return what an urgent job loses that becomes late by a stop, in core-seconds."""
+    if active.priority != 0:
+        return 0.0
+    return state.policy.timely_work_ratio * phase.work_core_s
--- a/src/larkhoist/ports/fleet.py
+++ b/src/larkhoist/ports/fleet.py
@@ -39,15 +39,23 @@
         )
 
     def count_fitting(self, each: "Resources") -> int:
-        """Return how often ``each`` fits into this amount, 0 at least."""
+        """Return how often ``each`` fits into this amount, 0 at least.
+
+        Plain comparisons: a pass asks 100,000 times, and ``min`` and ``max`` took half
+        of the time.
+        """
         count = UNBOUNDED
         if each.cpu_milli:
             count = self.cpu_milli // each.cpu_milli
         if each.memory_mb:
-            count = min(count, self.memory_mb // each.memory_mb)
+            fitting = self.memory_mb // each.memory_mb
+            if fitting < count:
+                count = fitting
         if each.accelerators:
-            count = min(count, self.accelerators // each.accelerators)
-        return max(0, count)
+            fitting = self.accelerators // each.accelerators
+            if fitting < count:
+                count = fitting
+        return count if count > 0 else 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/fleet/test_scheduler.py
+++ b/tests/fleet/test_scheduler.py
@@ -264,13 +264,14 @@
     assert len(machine.world.history) == 2
 
 
-def test_an_urgent_gang_takes_the_fastest_rack_with_room():
+def test_an_urgent_gang_takes_the_rack_with_the_fastest_workers():
     gang = StepSpec(count=2, accelerators=8, gang=True, same_rack=True)
     job = make_job(1, gang, priority=0)
     machine = make_machine(8, (job,), {"ann": 16})
     for _ in range(10):
-        machine.owner.scheduler.state.speeds.note("r0", 3.0, 1.5)
-        machine.owner.scheduler.state.speeds.note("r1", 1.0, 1.5)
+        for worker in machine.world.workers.values():
+            took_s = 3.0 if worker.rack == "r0" else 1.0
+            machine.owner.scheduler.state.speeds.note(worker.name, took_s, 1.5)
     machine.submit(job)
     machine.run(1)
     racks = {machine.world.workers[r.worker].rack for r in machine.world.history}
