--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,9 @@
 PYTHON ?= python3
 SEEDS ?= 50
 
-.PHONY: demo test measure startup promises soak lint format clean
+LAB_DAYS ?= 8
+
+.PHONY: demo test measure lab startup promises soak lint format clean
 
 $(VENV)/.installed: requirements.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -21,6 +23,9 @@
 measure: $(VENV)/.installed
 	$(BIN)/python -m measure
 
+lab: $(VENV)/.installed
+	$(BIN)/python -m lab --plan calm bursts faults --workers 50 --seeds $(LAB_DAYS)
+
 startup: $(VENV)/.installed
 	PYTHONPATH=platform:platform/tests $(BIN)/python -m measure_startup
 
