Let a gang with workers of its own start past one that waits without

Cause: room that one gang did not find counted as not there for every gang of the same shape in the pass, also for one with reserved workers; it waited for as long as the other ranked before it. Found by reading. Change: the shape that is remembered names a phase that has a reservation. Figures: the new test failed before.

--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -51,7 +51,8 @@
 class _Shape(msgspec.Struct, frozen=True):
     """Hold what decides whether room is found; a part of a gang finds none.
 
-    ``spread`` names a phase with a limit of its own on tasks of one worker.
+    ``spread`` names a phase with a limit of its own on tasks of one worker,
+    ``reserved_for`` one that has workers of its own.
     """
 
     service: str
@@ -63,6 +64,7 @@
     together: int
     anywhere: bool
     keeps_reservations: bool
+    reserved_for: PhaseId | None
     failed_on: frozenset[str]
 
 
@@ -163,7 +165,8 @@
         if count == 0 or phase.spec.gang and count < len(phase.tasks):
             return "guarantees need the room"
         # Room only shrinks within a pass: what found none finds none again.
-        shape = _get_shape(active, phase, tier, anywhere, count)
+        own = phase.id if self.state.reservations.get(phase.id) else None
+        shape = _get_shape(active, phase, tier, anywhere, count, own)
         if shape in self.failed:
             return TOO_LITTLE_ROOM
         places = self._find_unreserved(groups, tier, phase, count, anywhere=anywhere)
@@ -353,7 +356,12 @@
 
 
 def _get_shape(
-    active: ActiveJob, phase: Phase, tier: Tier, anywhere: bool, count: int
+    active: ActiveJob,
+    phase: Phase,
+    tier: Tier,
+    anywhere: bool,
+    count: int,
+    reserved_for: PhaseId | None,
 ) -> _Shape:
     spec = phase.spec
     return _Shape(
@@ -366,5 +374,6 @@
         count if spec.gang else 1,
         anywhere,
         tier > Tier.URGENT,
+        reserved_for,
         frozenset(name for task in phase.tasks for name in task.failed_on),
     )
--- a/tests/fleet/test_reservations.py
+++ b/tests/fleet/test_reservations.py
@@ -71,6 +71,25 @@
     assert not used & first
 
 
+def test_a_gang_with_workers_of_its_own_is_not_held_up_by_one_without():
+    machine, gangs = make_scattered_machine(2)
+    for job in gangs:
+        machine.submit(job)
+    machine.run(1)
+    state = machine.owner.scheduler.state
+    # Only one of them has workers of its own; it ranks behind the other.
+    (second,) = (job for job in gangs if get_reserved(machine, job))
+    kept = get_reserved(machine, second)
+    (first,) = (job for job in gangs if job is not second)
+    state.jobs[first.job_id].phases[(0, 0)].due_s -= 1
+    for name in kept:
+        for phase, task in state.list_tasks_on(state.workers[name]):
+            state.stop(phase, task, machine.now_s)
+    machine.run(1.5)
+    began = {r.task.partition(".")[0] for r in machine.world.history}
+    assert second.job_id in began
+
+
 def test_a_reservation_ends_with_its_job():
     machine, (gang,) = make_scattered_machine()
     machine.submit(gang)
