--- a/lab/events.py
+++ b/lab/events.py
@@ -13,6 +13,9 @@
         self._heap: list[tuple[float, int, object]] = []
         self._numbers = itertools.count()
 
+    def __bool__(self):
+        return bool(self._heap)
+
     def add(self, at_s: float, event: object) -> None:
         """Have an event happen at a time."""
         heapq.heappush(self._heap, (at_s, next(self._numbers), event))
--- a/measure/replay.py
+++ b/measure/replay.py
@@ -1,10 +1,9 @@
 """Replay a workload against the hall scheduler or a plain one."""
 
-import heapq
-import itertools
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
+from lab.events import Events
 from larkhoist.codes import Code
 from larkhoist.log.records import JobFinished, JobRequeued
 from larkhoist.placement.fragmentation import (
@@ -61,24 +60,6 @@
         self.wait[arrival.kind].append(started_s - arrival.at_s)
 
 
-class _Events:
-    """Hold what is to happen, in the order of time."""
-
-    def __init__(self):
-        self._heap: list[tuple[float, int, object]] = []
-        self._numbers = itertools.count()
-
-    def add(self, at_s: float, event: object) -> None:
-        heapq.heappush(self._heap, (at_s, next(self._numbers), event))
-
-    def __bool__(self):
-        return bool(self._heap)
-
-    def pop(self) -> tuple[float, object]:
-        at_s, _, event = heapq.heappop(self._heap)
-        return at_s, event
-
-
 @dataclass(frozen=True, slots=True)
 class _Arrive:
     arrival: Arrival
@@ -102,7 +83,7 @@
     pass
 
 
-def _queue_arrivals(events: _Events, workload: Workload) -> None:
+def _queue_arrivals(events: Events, workload: Workload) -> None:
     for arrival in workload.arrivals:
         events.add(arrival.at_s, _Arrive(arrival))
         if arrival.cancel_s is not None:
@@ -120,7 +101,7 @@
         for number in range(workers):
             rack = f"r{number // per_rack}"
             self.scheduler.add_worker(f"w{number}", rack, accelerators)
-        self.events = _Events()
+        self.events = Events()
         self.result = ReplayResult()
         self.arrivals = {a.spec.job_id: a for a in workload.arrivals}
         self.tasks: dict[str, dict[tuple[str, int, int], TaskReport]] = defaultdict(
@@ -271,7 +252,7 @@
     index = FreeIndex()
     for number in range(workers):
         index.add_worker(f"w{number}", f"r{number // per_rack}", accelerators)
-    events = _Events()
+    events = Events()
     _queue_arrivals(events, workload)
     result = ReplayResult()
     waiting: dict[str, Arrival] = {}
