Draw jobs of the replay in small steps; say how to use it

Cause: one function drew a whole job in fifty lines. Change: step and work have functions of their own, in the same order of draws.

--- a/lab/arrivals.py
+++ b/lab/arrivals.py
@@ -4,6 +4,8 @@
 import random
 from dataclasses import dataclass
 
+from msgspec.structs import replace
+
 from lab.kinds import DayPlan, JobKind
 from larkhoist.jobs.spec import JobTerms, StagedJob, StepSpec
 
@@ -80,40 +82,18 @@
             times.append(at_s)
 
 
-def _draw_job(plan, kind: JobKind, number: int, at_s: float, chance) -> Arrival:
+def _draw_job(
+    plan: DayPlan, kind: JobKind, number: int, at_s: float, chance: random.Random
+) -> Arrival:
+    """Draw a job; the order of the draws is part of what a seed means."""
     width = _draw_size(chance, kind.width, kind.width_spread, kind.widest)
-    count = max(1, round(width))
     mean_s = _draw_size(chance, kind.work_s, kind.work_spread, kind.longest_s)
-    estimate_s = mean_s * (1 + chance.uniform(-1, 1) * kind.estimate_off)
-    racks = math.ceil(plan.workers / plan.per_rack)
-    step = StepSpec(
-        count=count,
-        cpu_milli=kind.cpu_milli,
-        memory_mb=kind.memory_mb,
-        accelerators=chance.choice(kind.accelerators),
-        estimate_ms=max(50, round(estimate_s * 1000)),
-        checkpoints=chance.random() < kind.checkpoints,
-        gang=kind.gang,
-        same_rack=kind.gang and chance.random() < kind.same_rack,
-        data_rack=f"r{chance.randrange(racks)}"
-        if chance.random() < kind.data_rack
-        else "",
-        spread_limit=chance.randint(1, 3) if chance.random() < kind.spread_limit else 0,
-    )
-    steps = [step]
+    steps = [_draw_step(plan, kind, max(1, round(width)), mean_s, chance)]
     if chance.random() < kind.second_step:
-        steps.append(_follow(step))
-    work_s = tuple(
-        tuple(
-            mean_s * (1 + chance.uniform(-1, 1) * kind.uneven)
-            for _ in range(1 if step.gang else one.count)
-        )
-        * (one.count if step.gang else 1)
-        for one in steps
-    )
-    terms = JobTerms(
-        SERVICE, kind.priority, kind.attempts, kind.stretch, round(kind.target_s * 1000)
-    )
+        steps.append(replace(steps[0], depends_on=(0,)))
+    work_s = tuple(_draw_work(kind, step, mean_s, chance) for step in steps)
+    target_ms = round(kind.target_s * 1000)
+    terms = JobTerms(SERVICE, kind.priority, kind.attempts, kind.stretch, target_ms)
     job = StagedJob(
         f"{number:016x}",
         kind.name,
@@ -129,16 +109,47 @@
     return Arrival(at_s, kind, job, work_s, cancel_s, chance.random() < kind.hopeless)
 
 
-def _draw_customer(plan: DayPlan, chance: random.Random) -> int:
-    shares = get_shares(plan.customers)
-    return chance.choices(range(plan.customers), shares)[0]
+def _draw_step(
+    plan: DayPlan, kind: JobKind, count: int, mean_s: float, chance: random.Random
+) -> StepSpec:
+    estimate_s = mean_s * (1 + chance.uniform(-1, 1) * kind.estimate_off)
+    accelerators = chance.choice(kind.accelerators)
+    checkpoints = chance.random() < kind.checkpoints
+    same_rack = kind.gang and chance.random() < kind.same_rack
+    data_rack = ""
+    if chance.random() < kind.data_rack:
+        data_rack = get_rack(plan, plan.per_rack * chance.randrange(plan.racks))
+    spread_limit = 0
+    if chance.random() < kind.spread_limit:
+        spread_limit = chance.randint(1, 3)
+    return StepSpec(
+        count=count,
+        cpu_milli=kind.cpu_milli,
+        memory_mb=kind.memory_mb,
+        accelerators=accelerators,
+        estimate_ms=max(50, round(estimate_s * 1000)),
+        checkpoints=checkpoints,
+        gang=kind.gang,
+        same_rack=same_rack,
+        data_rack=data_rack,
+        spread_limit=spread_limit,
+    )
 
 
-def _follow(step: StepSpec) -> StepSpec:
-    return StepSpec(
-        **{name: getattr(step, name) for name in step.__struct_fields__}
-        | {"depends_on": (0,)}
+def _draw_work(
+    kind: JobKind, step: StepSpec, mean_s: float, chance: random.Random
+) -> tuple[float, ...]:
+    """Draw how long each task works, in seconds; a gang's members take as long."""
+    drawn = tuple(
+        mean_s * (1 + chance.uniform(-1, 1) * kind.uneven)
+        for _ in range(1 if step.gang else step.count)
     )
+    return drawn * step.count if step.gang else drawn
+
+
+def _draw_customer(plan: DayPlan, chance: random.Random) -> int:
+    shares = get_shares(plan.customers)
+    return chance.choices(range(plan.customers), shares)[0]
 
 
 def _draw_size(chance: random.Random, mean: float, spread: float, most: float) -> float:
--- a/lab/kinds.py
+++ b/lab/kinds.py
@@ -1,5 +1,6 @@
 """Describe the kinds of job that a day asks for and the workers that it meets."""
 
+import math
 from dataclasses import dataclass, field
 
 from larkhoist.ports.fleet import Resources
@@ -108,3 +109,8 @@
     speeds: tuple[float, ...] = (1.0,)
     bursts: tuple[Burst, ...] = ()
     faults: tuple[Fault, ...] = field(default=())
+
+    @property
+    def racks(self) -> int:
+        """Return how many racks the workers stand in; the last may be smaller."""
+        return math.ceil(self.workers / self.per_rack)
