Log whether an attempt that is over was seen to run, for how long, and its failures

Cause: attempt-over could not tell work that crashes each worker from work that was beside it: it had no time since the start and no count. Change: three fields; no decision changes.

--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -73,6 +73,7 @@
     match code:
         case None:
             state.workers[task.worker].refused_pause_s = 0.0
+            task.seen_running = True
             task.settled_s = min(task.settled_s, now_s)
             if task.state is TaskState.STARTING:
                 task.state = TaskState.RUNNING
@@ -234,6 +235,7 @@
     if task.state is TaskState.STARTING:
         task.state = TaskState.RUNNING
     # It has begun, and no attempt begins twice on one worker.
+    task.seen_running = True
     task.settled_s = min(task.settled_s, now_s)
     if running.checkpoint and running.checkpoint != task.checkpoint:
         task.saved_s = now_s
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -145,6 +145,7 @@
             task.began_s = now_s
             task.saved_s = now_s
             task.settled_s = float("inf")
+            task.seen_running = False
             self._occupy(phase, task, places[task.index])
             self.extend_lease(self.workers[task.worker], now_s, self.policy.lease_s)
             self.round.starts.append(
@@ -269,6 +270,9 @@
             attempt=task.attempt,
             worker=task.worker,
             state=task.state.value,
+            seen_running=task.seen_running,
+            ran_s=round(now_s - task.began_s, 3),
+            failures=task.failures,
             proof=name,
             **describe_proof(proof, now_s),
         )
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -34,7 +34,8 @@
     """Hold one task; times are steady seconds.
 
     From ``settled_s`` on no order given before can begin the attempt any more, so
-    that a report asked for later tells for certain whether it runs.
+    that a report asked for later tells for certain whether it runs. ``seen_running``
+    tells that the worker itself has said that the attempt runs, to this owner.
     """
 
     name: str
@@ -50,6 +51,7 @@
     settled_s: float = float("inf")
     stop_sent_s: float = float("-inf")
     failed_on: set[str] = field(default_factory=set)
+    seen_running: bool = False
 
     @property
     def is_on_worker(self) -> bool:
