--- a/tests/fleet/checks.py
+++ b/tests/fleet/checks.py
@@ -7,11 +7,14 @@
 from tests.fleet.machine import FleetMachine
 from tests.fleet.sim_worker import STOP_S, Run
 
-__all__ = ["check_history", "check_outcomes", "check_running"]
+__all__ = ["check_given_up", "check_history", "check_outcomes", "check_running"]
 
 CANCEL_S = 3.0
 SLACK_S = 0.2
 """How exact the machine is: a step and the sum of its roundings."""
+CRASHES_TO_END = 3
+"""After so many workers crashed under a task it may be started less than three times
+more; after two it may be given up."""
 
 
 def check_history(machine: FleetMachine) -> None:
@@ -23,6 +26,8 @@
         runs.sort(key=lambda run: run.began_s)
         _check_once(task, runs)
         _check_budget(machine, task, runs)
+        if machine.world.crashes(task):
+            _check_crashes(task, runs)
         _check_order(machine, task, runs, by_task)
         _check_cancelled(machine, task, runs)
     by_phase: dict[str, list[Run]] = defaultdict(list)
@@ -96,6 +101,33 @@
     assert failed <= job.terms.max_attempts, f"{task} failed {failed} times"
 
 
+def _check_crashes(task: str, runs: list[Run]) -> None:
+    """Check that a task that crashes its workers is not started for ever."""
+    lost_s = sorted(run.ended_s for run in runs if run.lost)
+    if len(lost_s) < CRASHES_TO_END:
+        return
+    third_s = lost_s[CRASHES_TO_END - 1]
+    later = [run for run in runs if run.began_s >= third_s and not run.late]
+    assert len(later) < 3, f"{task} began {len(later)} times after three crashes"
+
+
+def check_given_up(machine: FleetMachine) -> None:
+    """Raise ``AssertionError`` where a job is shown as failed without a cause."""
+    by_task: dict[str, list[Run]] = defaultdict(list)
+    for run in machine.world.history:
+        by_task[run.task].append(run)
+    causes = set()
+    for task, runs in by_task.items():
+        job = machine.jobs[task.split(".")[0]]
+        failed = sum(run.kind is EndKind.FAILED for run in runs)
+        lost = sum(run.lost for run in runs)
+        if failed >= job.terms.max_attempts or lost >= CRASHES_TO_END - 1:
+            causes.add(job.job_id)
+    for job_id, entry in machine.book.entries.items():
+        if entry.outcome is not None and entry.outcome.code == Code.JOB_FAILED:
+            assert job_id in causes, f"{job_id} was given up without a cause"
+
+
 def _check_order(machine, task: str, runs: list[Run], by_task) -> None:
     job_id, _, step, _ = task.split(".")
     job = machine.jobs[job_id]
--- a/tests/fleet/disturbances.py
+++ b/tests/fleet/disturbances.py
@@ -34,6 +34,7 @@
 
     def step(self) -> None:
         """Bring about what is due, and perhaps something new."""
+        self._notice_crashes()
         self._change_entries()
         self._begin_lives()
         if self._chance.random() * 100 < self._often:
@@ -124,6 +125,15 @@
     def _crash(self, worker: SimWorker) -> None:
         """Have a worker end at once; its entry lapses later."""
         self._machine.world.kill(worker, self._machine.now_s)
+        self._let_entry_lapse(worker)
+
+    def _notice_crashes(self) -> None:
+        """Have the entries of workers that crashed under a task lapse later."""
+        for worker in self._machine.world.workers.values():
+            if worker.dead and worker.listed and worker.name not in self._unlisted_s:
+                self._let_entry_lapse(worker)
+
+    def _let_entry_lapse(self, worker: SimWorker) -> None:
         goes_s = self._machine.now_s + self._chance.choice((0.0, 2.0, 4.5))
         self._unlisted_s[worker.name] = goes_s
 
--- a/tests/fleet/sim_worker.py
+++ b/tests/fleet/sim_worker.py
@@ -6,6 +6,7 @@
 address of one that has ended.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from returns.result import Failure, Result, Success
@@ -50,6 +51,7 @@
     kind: EndKind | None = None
     noted: bool = False
     late: bool = False
+    lost: bool = False
     stopping_s: float | None = None
     works_since_s: float | None = None
 
@@ -94,13 +96,16 @@
 class SimWorld:
     """Hold all workers, how long tasks work and everything that ever ran.
 
-    ``lease_s`` is the longest lease that workers grant.
+    ``lease_s`` is the longest lease that workers grant. A worker crashes
+    ``crash_after_s`` after it has begun a task that ``crashes``.
     """
 
     def __init__(self, workers: list[SimWorker], need_of, work_s_of, fails):
         self.workers = {worker.name: worker for worker in workers}
         self.history: list[Run] = []
         self.lease_s = LEASE_S
+        self.crashes: Callable[[str], bool] = lambda task: False
+        self.crash_after_s = 0.0
         self._need_of = need_of
         self._work_s_of = work_s_of
         self._fails = fails
@@ -211,6 +216,9 @@
                 worker.listed = False
                 continue
             self._end_lapsed(worker, now_s)
+            if self._is_crashed(worker, now_s):
+                self.kill(worker, now_s)
+                continue
             for run in list(worker.runs.values()):
                 if run.stopping_s is not None and now_s >= run.stopping_s + STOP_S:
                     self._end(worker, run, EndKind.STOPPED, now_s)
@@ -254,8 +262,15 @@
         worker.dead_since_s = now_s
         for run in worker.runs.values():
             run.ended_s = now_s
+            run.lost = True
         worker.runs = {}
 
+    def _is_crashed(self, worker: SimWorker, now_s: float) -> bool:
+        return any(
+            self.crashes(run.task) and now_s >= run.began_s + self.crash_after_s
+            for run in worker.runs.values()
+        )
+
     def _end_lapsed(self, worker: SimWorker, now_s: float) -> None:
         if worker.get_clock_ms(now_s) <= worker.lease_until_ms:
             return
--- a/tests/fleet/test_interleavings.py
+++ b/tests/fleet/test_interleavings.py
@@ -6,11 +6,19 @@
 
 from larkhoist.jobs.spec import StagedJob, StepSpec
 from tests.fleet.cases import make_job, make_machine
-from tests.fleet.checks import check_history, check_outcomes, check_running
+from tests.fleet.checks import (
+    check_given_up,
+    check_history,
+    check_outcomes,
+    check_running,
+)
 from tests.fleet.disturbances import Disturber
 from tests.fleet.machine import FleetMachine
 
 SEEDS = 100
+CRASHING_SEEDS = 50
+CRASHING_SHARE = 0.15
+"""How many of the jobs have a task that crashes each worker that starts it."""
 FAULTY_S = 40.0
 QUIET_S = 150.0
 WORK_S = (0.5, 1.5, 4.0, 12.0)
@@ -23,9 +31,11 @@
     play(seed)
 
 
-def play(seed: int) -> FleetMachine:
+def play(seed: int, *, crashing: bool = False) -> FleetMachine:
     """Draw jobs and disturbances and check every promise."""
     machine, chance, waiting = create_play(seed)
+    if crashing:
+        _draw_crashing(machine, seed, waiting)
     disturber = Disturber(machine, chance, chance.choice((5.0, 10.0, 30.0)))
     until_s = machine.now_s + FAULTY_S
     while machine.now_s < until_s:
@@ -44,9 +54,22 @@
         check_running(machine)
     check_history(machine)
     check_outcomes(machine)
+    check_given_up(machine)
     return machine
 
 
+def _draw_crashing(machine: FleetMachine, seed: int, jobs: list[StagedJob]) -> None:
+    """Have a task of some jobs crash its workers, at once or after a while."""
+    chance = random.Random(f"crashing {seed}")
+    crashing = set()
+    for job in jobs:
+        if chance.random() < CRASHING_SHARE:
+            index = chance.randrange(job.steps[0].count)
+            crashing.add(f"{job.job_id}.0.0.{index}")
+    machine.world.crashes = crashing.__contains__
+    machine.world.crash_after_s = chance.choice((0.0, 0.0, 0.4, 2.0))
+
+
 def create_play(seed: int) -> tuple[FleetMachine, random.Random, list[StagedJob]]:
     """Return a machine that has been idle, and the jobs it will get."""
     chance = random.Random(seed)
@@ -97,3 +120,8 @@
         checkpoints=chance.random() < 0.5,
         spread_limit=chance.choice((0, 0, 2)),
     )
+
+
+@pytest.mark.parametrize("seed", range(CRASHING_SEEDS))
+def test_no_promise_breaks_beside_work_that_crashes_workers(seed):
+    play(seed, crashing=True)
