Give up work under which too many workers were lost

Cause: an attempt that ends with its worker counted against nothing, so that a task that crashes each worker was started for ever. Class: a repeat that only a report can end, of which the one that reports is the one that dies. Change: every lost worker counts against what ran there, kept with the task's progress over owners and restarts; three crashes for which a task is blamed (it began last), five lost workers of any sort, or two starts after the third end its job. Tasks that are blamed go on apart for up to 1 s. Workers that leave, and long runs of lasting work, do not count.

--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -40,6 +40,13 @@
 frees room, and others that wait are looked at."""
 
 
+APART_WAIT_S = 1.0
+"""How long a task under which a worker crashed waits for a worker without another such
+task. Two that go on together are lost together, and one of them is blamed for nothing:
+in 20 s of two tasks that crash their workers, three others met them twice or more. Less
+than the 2.7 s in which urgent work has to begin."""
+
+
 class _Waiting(msgspec.Struct, frozen=True):
     """Hold a phase that could start, and its place."""
 
@@ -52,7 +59,8 @@
     """Hold what decides whether room is found; a part of a gang finds none.
 
     ``spread`` names a phase with a limit of its own on tasks of one worker,
-    ``reserved_for`` one that has workers of its own.
+    ``reserved_for`` one that has workers of its own. ``apart`` tells that it keeps away
+    from work under which workers crashed.
     """
 
     service: str
@@ -66,6 +74,7 @@
     keeps_reservations: bool
     reserved_for: PhaseId | None
     failed_on: frozenset[str]
+    apart: bool
 
 
 class _Pass:
@@ -131,8 +140,11 @@
         if tier > Tier.URGENT and not may_reserve and not self._may_fit(phase):
             self._note_wait(phase, TOO_LITTLE_ROOM, tier, self.usable)
             return
-        groups = self._get_groups(tier, anywhere, active, phase)
-        reason = self._start(tier, anywhere, active, phase, groups)
+        if _has_suspects(phase) and waited_s < APART_WAIT_S:
+            groups, reason = self._start_apart(tier, anywhere, active, phase)
+        else:
+            groups = self._get_groups(tier, anywhere, active, phase)
+            reason = self._start(tier, anywhere, active, phase, groups)
         if not reason:
             phase.wait_reasons.clear()
             return
@@ -155,9 +167,28 @@
         if not self.room_maker.make_room(active, phase, groups, rank.order):
             phase.claim_again_s = self.now_s + CLAIM_PAUSE_S
 
-    def _start(self, tier, anywhere, active, phase, groups) -> str:
+    def _start_apart(self, tier, anywhere, active, phase) -> tuple[WorkerGroups, str]:
+        """Start tasks one by one, each on a worker without any that may crash it."""
+        while True:
+            left = len(phase.get_waiting())
+            groups = self._get_groups(tier, anywhere, active, phase)
+            groups = self._leave_out_suspects(groups)
+            reason = self._start(tier, anywhere, active, phase, groups, apart=True)
+            if not reason or len(phase.get_waiting()) == left:
+                return groups, reason
+
+    def _leave_out_suspects(self, groups: WorkerGroups) -> WorkerGroups:
+        held = self.state.list_suspect_workers()
+        workers = [w for w in groups.whole.workers if w.name not in held]
+        return WorkerGroups(workers)
+
+    def _start(
+        self, tier, anywhere, active, phase, groups, *, apart: bool = False
+    ) -> str:
         """Start what finds room; return why something is left, empty if nothing."""
         count = len(phase.get_waiting())
+        if apart and not phase.spec.gang:
+            count = 1
         if not self.mostly_idle:
             count = min(count, self._count_allowed(active, phase, count))
         if not groups.whole.workers:
@@ -166,7 +197,7 @@
             return "guarantees need the room"
         # Room only shrinks within a pass: what found none finds none again.
         own = phase.id if self.state.reservations.get(phase.id) else None
-        shape = _get_shape(active, phase, tier, anywhere, count, own)
+        shape = _get_shape(active, phase, tier, anywhere, count, own, apart)
         if shape in self.failed:
             return TOO_LITTLE_ROOM
         places = self._find_unreserved(groups, tier, phase, count, anywhere=anywhere)
@@ -351,6 +382,10 @@
     return one.unfinished
 
 
+def _has_suspects(phase: Phase) -> bool:
+    return any(task.lost.blamed for task in phase.get_waiting())
+
+
 def _count_free(group: WorkerGroup) -> int:
     return sum(worker.free.accelerators for worker in group.workers)
 
@@ -362,6 +397,7 @@
     anywhere: bool,
     count: int,
     reserved_for: PhaseId | None,
+    apart: bool,
 ) -> _Shape:
     spec = phase.spec
     return _Shape(
@@ -376,4 +412,5 @@
         tier > Tier.URGENT,
         reserved_for,
         frozenset(name for task in phase.tasks for name in task.failed_on),
+        apart,
     )
--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -1,6 +1,7 @@
 """Take what workers report and answer into the state."""
 
 from larkhoist.codes import Code
+from larkhoist.fleet.crashes import count_losses
 from larkhoist.fleet.effects import StopTask
 from larkhoist.fleet.proofs import (
     AbsentFromReport,
@@ -149,6 +150,7 @@
         tasks=len(tasks),
         heard_age_s=round(now_s - worker.heard_s, 3),
     )
+    count_losses(tasks, worker, proof, now_s)
     for phase, task in tasks:
         state.release(phase, task, proof, now_s)
 
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Mapping
 
 from larkhoist.codes import Code
+from larkhoist.fleet.crashes import has_given_up_task
 from larkhoist.fleet.effects import Round
 from larkhoist.fleet.guarantees import mark_firm
 from larkhoist.fleet.placement import place_waiting
@@ -91,8 +92,8 @@
                     self.state.stop(phase, task, now_s)
         elif entry.cancelled:
             self.cancel_job(entry.job.job_id, now_s, now_ms)
-        elif active.is_out_of_attempts:
-            # The last failure reached the log and the outcome did not.
+        elif active.is_out_of_attempts or has_given_up_task(active):
+            # The last failure or loss reached the log and the outcome did not.
             self.state.end_job(active, Code.JOB_FAILED, now_s, now_ms)
 
     def take_book(self, book: JobBook, now_s: float, now_ms: int) -> None:
@@ -129,6 +130,7 @@
         if found.silent:
             return
         found.silent = True
+        found.silent_s = asked_s
         self.state.changed = True
         self.state.note("worker-silent", worker=worker, tasks=len(found.tasks))
         if not found.hall:
@@ -276,6 +278,8 @@
             phases = active.phases.values()
             if not active.ended and all(phase.is_done for phase in phases):
                 self.state.end_job(active, Code.JOB_FINISHED, now_s, now_ms)
+            elif active.given_up:
+                self.state.end_job(active, Code.JOB_FAILED, now_s, now_ms)
             if active.ended and all(phase.is_off_workers for phase in phases):
                 self.state.forget_job(active)
 
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 from larkhoist.codes import Code
+from larkhoist.fleet.crashes import is_given_up, note_start
 from larkhoist.fleet.doubts import HallDoubts
 from larkhoist.fleet.effects import EndedJob, Note, Round, StartTask, StopTask
 from larkhoist.fleet.headroom import UrgentDemand
@@ -31,7 +32,10 @@
 
 
 class FleetState:
-    """Hold everything the scheduler of staged jobs knows."""
+    """Hold everything the scheduler of staged jobs knows.
+
+    ``suspects`` names the tasks that are blamed for a worker's crash and not done.
+    """
 
     def __init__(self, policy: FleetPolicy):
         self.policy = policy
@@ -46,6 +50,7 @@
         self.round = Round()
         self.changed = True
         self.over_by_proof: Counter[str] = Counter()
+        self.suspects: set[str] = set()
         self._tasks: dict[str, tuple[Phase, Task]] = {}
         self._dirty: dict[int, Phase] = {}
 
@@ -89,6 +94,7 @@
         for phase in active.phases.values():
             for task in phase.tasks:
                 self._tasks.pop(task.name, None)
+                self.suspects.discard(task.name)
         del self.jobs[active.job.job_id]
         phases = tuple(phase.id for phase in active.phases.values())
         self.round.ended.append(EndedJob(active.job.job_id, phases))
@@ -124,6 +130,11 @@
         """Return the tasks that may run on a worker."""
         return [self._tasks[name] for name in sorted(worker.tasks)]
 
+    def list_suspect_workers(self) -> set[str]:
+        """Return the workers on which a task may run that may crash them."""
+        tasks = [self._tasks[name][1] for name in self.suspects]
+        return {task.worker for task in tasks if task.is_on_worker}
+
     def is_usable(self, worker: FleetWorker, now_s: float) -> bool:
         """Tell whether new tasks may go to a worker."""
         return (
@@ -146,6 +157,7 @@
             task.saved_s = now_s
             task.settled_s = float("inf")
             task.seen_running = False
+            note_start(task)
             self._occupy(phase, task, places[task.index])
             self.extend_lease(self.workers[task.worker], now_s, self.policy.lease_s)
             self.round.starts.append(
@@ -205,6 +217,7 @@
         self._vacate(phase, task)
         task.state = TaskState.DONE
         task.checkpoint = ""
+        self.suspects.discard(task.name)
         self.touch(phase)
 
     def release(self, phase: Phase, task: Task, proof: Proof, now_s: float) -> None:
@@ -214,6 +227,7 @@
         self._note_over(task, proof, now_s)
         self._vacate(phase, task)
         task.state = TaskState.WAITING
+        self._note_suspect(phase, task)
         phase.waiting_since_s = now_s
         self.touch(phase)
         if phase.spec.gang:
@@ -273,13 +287,39 @@
             seen_running=task.seen_running,
             ran_s=round(now_s - task.began_s, 3),
             failures=task.failures,
+            crashes=task.lost.crashes,
+            blamed=task.lost.blamed,
+            unsure=task.lost.unsure,
             proof=name,
             **describe_proof(proof, now_s),
         )
 
+    def _note_suspect(self, phase: Phase, task: Task) -> None:
+        """Note what workers were lost under a task; too many end its job."""
+        if task.lost.blamed:
+            self.suspects.add(task.name)
+        else:
+            self.suspects.discard(task.name)
+        active = self.jobs[phase.id.job_id]
+        if active.ended or active.given_up or not is_given_up(task):
+            return
+        active.given_up = True
+        self.note(
+            "job-given-up",
+            job=phase.id.job_id,
+            task=task.name,
+            attempt=task.attempt,
+            crashes=task.lost.crashes,
+            blamed=task.lost.blamed,
+            unsure=task.lost.unsure,
+            late_starts=task.lost.late_starts,
+        )
+
     def _index_phase(self, phase: Phase, now_s: float) -> None:
         for task in phase.tasks:
             self._tasks[task.name] = (phase, task)
+            if task.lost.blamed and task.state is not TaskState.DONE:
+                self.suspects.add(task.name)
             if task.is_on_worker:
                 task.began_s = now_s
                 task.saved_s = now_s
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from larkhoist.jobs.records import PhaseId, PhaseProgress, TaskProgress
+from larkhoist.jobs.records import LostWorkers, PhaseId, PhaseProgress, TaskProgress
 from larkhoist.jobs.spec import StagedJob, StepSpec, make_task_name
 from larkhoist.ports.fleet import Resources
 
@@ -36,6 +36,7 @@
     From ``settled_s`` on no order given before can begin the attempt any more, so
     that a report asked for later tells for certain whether it runs. ``seen_running``
     tells that the worker itself has said that the attempt runs, to this owner.
+    ``lost`` counts the workers that were lost under it.
     """
 
     name: str
@@ -52,6 +53,7 @@
     stop_sent_s: float = float("-inf")
     failed_on: set[str] = field(default_factory=set)
     seen_running: bool = False
+    lost: LostWorkers = LostWorkers()
 
     @property
     def is_on_worker(self) -> bool:
@@ -162,6 +164,7 @@
                     task.failures,
                     task.checkpoint,
                     task.address if task.is_on_worker else "",
+                    task.lost,
                 )
                 for task in self.tasks
             ),
@@ -171,7 +174,10 @@
 
 @dataclass(slots=True)
 class ActiveJob:
-    """Hold one job that has not ended, or whose tasks still have to stop."""
+    """Hold one job that has not ended, or whose tasks still have to stop.
+
+    ``given_up`` tells that too many workers were lost under one of its tasks.
+    """
 
     job: StagedJob
     submitted_s: float
@@ -179,6 +185,7 @@
     ended: bool = False
     begun: bool = False
     firm: bool = False
+    given_up: bool = False
 
     @property
     def priority(self) -> int:
@@ -232,6 +239,7 @@
 def _restore(task: Task, kept: TaskProgress) -> None:
     task.attempt = kept.attempt
     task.failures = kept.failures
+    task.lost = kept.lost
     task.checkpoint = kept.checkpoint
     if kept.done:
         task.state = TaskState.DONE
--- a/src/larkhoist/fleet/worker.py
+++ b/src/larkhoist/fleet/worker.py
@@ -14,7 +14,8 @@
     ``free`` is what neither runs nor is held for tasks that wait until others have
     stopped; held room makes it negative while the others still run. After
     ``lease_end_s`` nothing runs there unless a lease was renewed. ``heard_s`` is when
-    this owner made the last call that was answered. ``unlisted_s`` is since when its
+    this owner made the last call that was answered, ``silent_s`` when it fell silent.
+    ``unlisted_s`` is since when its
     entry is off the list, ``refused_pause_s`` how long the last refusal in a row has
     paused it; ``strays`` holds the attempts by task that its last report named and
     nobody wants.
@@ -33,6 +34,7 @@
     leaves_s: float | None = None
     silent: bool = False
     heard_s: float = float("-inf")
+    silent_s: float = float("-inf")
     unlisted_s: float | None = None
     paused_until_s: float = float("-inf")
     refused_pause_s: float = 0.0
@@ -81,6 +83,13 @@
             return True
         return self.unlisted_s is not None and now_s > self.unlisted_s + patience_s
 
+    def has_left(self, now_s: float) -> bool:
+        """Tell whether the worker, known to be gone, served as long as it had said."""
+        if not self.leaving:
+            return False
+        gone_s = self.silent_s if self.silent else now_s
+        return self.leaves_s is None or gone_s >= self.leaves_s
+
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new tasks may go there; what never answered gets none."""
         return (
--- a/src/larkhoist/jobs/records.py
+++ b/src/larkhoist/jobs/records.py
@@ -22,6 +22,7 @@
     "JobCancelRequested",
     "JobOutcome",
     "JobRecord",
+    "LostWorkers",
     "PhaseId",
     "PhaseProgress",
     "TaskProgress",
@@ -62,13 +63,33 @@
     job_id: str
 
 
+class LostWorkers(msgspec.Struct, frozen=True, array_like=True):
+    """Count the workers that were lost under a task, and its starts since.
+
+    ``crashes`` counts those that crashed while it ran, ``blamed`` those of them whose
+    crash it most likely caused, ``unsure`` those that may have been cut off, or on
+    which it may not have run. ``late_starts`` counts its starts after the third of all.
+    """
+
+    crashes: int = 0
+    blamed: int = 0
+    unsure: int = 0
+    late_starts: int = 0
+
+    @property
+    def count(self) -> int:
+        """Return how many workers were lost."""
+        return self.crashes + self.unsure
+
+
 class TaskProgress(msgspec.Struct, frozen=True, array_like=True):
     """Hold what must outlive the owner of one task.
 
     ``worker`` is where the attempt may run, empty where none may; ``failures``
     counts attempts that ended as failed; ``checkpoint`` is where the next attempt
     goes on. ``address`` reaches the worker when it is off the platform's list: without
-    it a successor could neither stop a task there nor keep up its lease.
+    it a successor could neither stop a task there nor keep up its lease. ``lost``
+    counts the workers that were lost under it.
     """
 
     attempt: int = 0
@@ -77,6 +98,7 @@
     failures: int = 0
     checkpoint: str = ""
     address: str = ""
+    lost: LostWorkers = LostWorkers()
 
 
 class PhaseProgress(msgspec.Struct, frozen=True, tag="p"):
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -195,6 +195,7 @@
         self._retries: list[_Retry] = []
         self._former: list[_Owner] = []
         self.term = 0
+        self.term_began_s: dict[int, float] = {}
         self.owner: _Owner | None = None
         self._read_workers()
         self.replace_owner()
@@ -232,6 +233,7 @@
             self.owner.renews_until_s = self.now_s + PREDECESSOR_S
             self._former.append(self.owner)
         self.term += 1
+        self.term_began_s[self.term] = self.now_s
         policy = FleetPolicy(lease_s=self.world.lease_s, predecessor_s=PREDECESSOR_S)
         scheduler = create_fleet_scheduler(policy, self.now_s)
         scheduler.set_guarantees(self.guarantees)
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -13,10 +13,20 @@
 """
 
 import random
+from collections import Counter
 
+import msgspec
 import pytest
 
 from larkhoist.codes import Code
+from larkhoist.jobs.records import (
+    LostWorkers,
+    PhaseId,
+    PhaseProgress,
+    TaskProgress,
+    decode_job_record,
+    encode_job_record,
+)
 from larkhoist.jobs.spec import StagedJob, StepSpec
 from tests.fleet.cases import make_job, make_machine
 from tests.fleet.checks import check_history
@@ -67,3 +77,90 @@
     check_history(machine)
     assert count_starts(machine, job) <= 5
     assert get_code(machine, job) == Code.JOB_FAILED
+
+
+@pytest.mark.parametrize(("workers", "most"), [(3, 2), (8, 1)])
+def test_what_runs_beside_it_is_not_given_up_with_it(workers, most):
+    # Each crash took the work beside it to the next worker, and to the next crash.
+    job = make_job(1, ONE, priority=0)
+    beside = make_job(2, StepSpec(count=12, accelerators=1, estimate_ms=900))
+    machine = make_crashing(job, beside, count=workers)
+    machine.submit(beside)
+    machine.run(0.5)
+    machine.submit(job)
+    play(machine, 60)
+    check_history(machine)
+    assert get_code(machine, job) == Code.JOB_FAILED
+    assert get_code(machine, beside) == Code.JOB_FINISHED
+    lost = Counter(run.task for run in machine.world.history if run.lost)
+    assert lost.pop(f"{job.job_id}.0.0.0") == 3
+    assert max(lost.values(), default=0) <= most
+
+
+def test_workers_that_come_back_after_their_lease_count_as_well():
+    job = make_job(1, ONE)
+    machine = make_crashing(job, count=9)
+    machine.submit(job)
+    # No other life takes the place of any: the end of its lease alone tells.
+    machine.run(150)
+    check_history(machine)
+    assert count_starts(machine, job) == 5
+    assert get_code(machine, job) == Code.JOB_FAILED
+
+
+def lose_worker(machine: FleetMachine, name: str) -> None:
+    worker = machine.world.workers[name]
+    machine.world.kill(worker, machine.now_s)
+    worker.listed = False
+    machine.world.begin_life(worker)
+
+
+def find_run(machine: FleetMachine) -> str:
+    return next(run.worker for run in machine.world.history if run.ended_s is None)
+
+
+def test_workers_that_leave_count_for_nothing():
+    job = make_job(1, ONE)
+    machine = make_machine(2, (job,), work_s=1e9)
+    machine.submit(job)
+    for _ in range(8):
+        machine.run(12)
+        worker = machine.world.workers[find_run(machine)]
+        machine.world.leave(worker, machine.now_s, says=True)
+        machine.run(2.5)
+        machine.world.begin_life(worker)
+    machine.run(5)
+    assert machine.book.get(job.job_id).outcome is None
+    assert find_run(machine)
+
+
+def test_work_that_lasts_is_not_given_up_for_crashes_long_after_its_start():
+    job = make_job(1, LASTING)
+    machine = make_machine(2, (job,), work_s=1e9)
+    machine.submit(job)
+    for _ in range(8):
+        machine.run(62)
+        lose_worker(machine, find_run(machine))
+    machine.run(5)
+    assert machine.book.get(job.job_id).outcome is None
+    for _ in range(3):
+        machine.run(5)
+        lose_worker(machine, find_run(machine))
+    machine.run(5)
+    assert get_code(machine, job) == Code.JOB_FAILED
+
+
+def test_the_count_outlives_the_owner_and_old_records_have_none():
+    crashed = TaskProgress(attempt=3, lost=LostWorkers(crashes=2, blamed=1))
+    phase = PhaseId("1", 0, 0)
+    kept = encode_job_record(PhaseProgress(phase, (crashed,)))
+    assert decode_job_record(kept.value).tasks == (crashed,)
+    old = msgspec.msgpack.encode(
+        ["p", ["1", 0, 0], [[3, "w1", False, 1, "", "a:1"]], 0]
+    )
+    with pytest.raises(msgspec.DecodeError):
+        decode_job_record(old)
+    old = msgspec.msgpack.encode(
+        {"type": "p", "phase": ["1", 0, 0], "tasks": [[3, "w1", False, 1, "", "a:1"]]}
+    )
+    assert decode_job_record(old).tasks[0].lost == LostWorkers()
