Go on past records that can't be read, and give up the tenure where deciding fails

A record that can't be read stays on its stream for good; taken as no answer it was read for ever, raised to its reader it ended one task after the other.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import time
+import traceback
 from collections.abc import Callable
 
 from returns.result import Failure, Success
@@ -57,6 +58,8 @@
 """How long records may wait for the log before no new decision is made."""
 TAKEOVER_TIMEOUT_S = 2.0
 RETRY_TAKEOVER_S = 0.2
+FAILURE_FRAMES = 4
+"""How many of the innermost calls a line on a failure names."""
 TIDY_S = 10.0
 """How often outcomes that nobody may ask for any more are looked for; they are few
 enough between two looks (some 50 a second) to go in one append."""
@@ -191,6 +194,21 @@
     # Taking over.
 
     async def _run(self) -> None:
+        """Own until another does; an owner that fails must not go on holding."""
+        try:
+            await self._own()
+        except Exception as error:
+            log_event(
+                _logger,
+                "owner-failed",
+                logging.ERROR,
+                term=self.term,
+                reason=repr(error),
+                trace=traceback.format_exc(limit=-FAILURE_FRAMES),
+            )
+            self._give_up("its decisions failed")
+
+    async def _own(self) -> None:
         while not await self._take_over():
             await asyncio.sleep(RETRY_TAKEOVER_S)
         await self._writer.start()
--- a/src/larkhoist/control/tenure_keeper.py
+++ b/src/larkhoist/control/tenure_keeper.py
@@ -202,7 +202,7 @@
     def _take_records(
         self, end: int, records: tuple[StoredRecord, ...], asked_s: float
     ) -> None:
-        newest = _decode(records[-1]) if records else None
+        newest = _find_newest(records)
         if records:
             end = max(end, records[-1].offset + 1)
         self._view.take(end, newest, asked_s)
@@ -235,8 +235,21 @@
         self._on_change(0)
 
 
-def _decode(record: StoredRecord) -> TenureRecord:
-    return msgspec.msgpack.decode(record.value, type=TenureRecord)
+def _find_newest(records: tuple[StoredRecord, ...]) -> TenureRecord | None:
+    """Return the newest record that can be read, None where there is none."""
+    for record in reversed(records):
+        try:
+            return msgspec.msgpack.decode(record.value, type=TenureRecord)
+        except msgspec.DecodeError as error:
+            log_event(
+                _logger,
+                "record-unreadable",
+                logging.WARNING,
+                stream=TENURE_STREAM,
+                offset=record.offset,
+                reason=error,
+            )
+    return None
 
 
 def _get_instance(incarnation: str) -> str:
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -77,7 +77,7 @@
     def add_job(self, entry: BookEntry, now_s: float, now_ms: int) -> None:
         """Take in a job that the log holds."""
         # A job that ended in this term may come again before its outcome is read.
-        if entry.job.job_id in self._taken:
+        if entry.job.job_id in self._taken or entry.unreadable:
             return
         self._taken.add(entry.job.job_id)
         for progress in entry.phases.values():
--- a/src/larkhoist/jobs/book.py
+++ b/src/larkhoist/jobs/book.py
@@ -4,6 +4,7 @@
 owner starts with.
 """
 
+import logging
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -11,7 +12,10 @@
 import msgspec
 
 from larkhoist.codes import Code
+from larkhoist.daemon.logs import log_event
 from larkhoist.jobs.records import (
+    JOB_STREAM,
+    PROGRESS_STREAM,
     JobAccepted,
     JobBegun,
     JobCancelRequested,
@@ -27,6 +31,9 @@
 __all__ = ["BookEntry", "JobBook", "JobState"]
 
 
+_logger = logging.getLogger(__name__)
+
+
 class JobState(Enum):
     """Name the states that a caller is shown."""
 
@@ -48,7 +55,8 @@
 class BookEntry:
     """Hold what the log says of one job; records of a job may come in any order.
 
-    Of an ended job, ``job`` may be gone. ``phases`` is what the owner took over.
+    Of an ended job, ``job`` may be gone. ``phases`` is what the owner took over. Where
+    part of it is ``unreadable``, nobody knows what may run or has run of the job.
     """
 
     job: StagedJob | None = None
@@ -56,6 +64,7 @@
     begun: bool = False
     outcome: JobOutcome | None = None
     phases: dict[PhaseId, PhaseProgress] = field(default_factory=dict)
+    unreadable: bool = False
 
     @property
     def state(self) -> JobState:
@@ -96,7 +105,8 @@
             return None
         try:
             decoded = decode_job_record(record.value)
-        except msgspec.DecodeError:
+        except msgspec.DecodeError as error:
+            _log_unreadable(JOB_STREAM, record, error)
             return None
         self._take(decoded)
         return decoded
@@ -125,9 +135,13 @@
         """
         for entry in self.entries.values():
             entry.phases = {}
+            entry.unreadable = False
         left_over = []
         for record in records:
-            decoded = decode_job_record(record.value)
+            decoded = _decode_progress(record)
+            if decoded is None:
+                self._note_unreadable(record.key)
+                continue
             entry = self.entries.get(decoded.phase.job_id)
             if entry is None or entry.job is None:
                 left_over.append(decoded.phase)
@@ -135,6 +149,13 @@
                 entry.phases[decoded.phase] = decoded
         return left_over
 
+    def _note_unreadable(self, key: str) -> None:
+        """Hold a job of whose progress a part can't be read: it might run twice."""
+        job_id = key[1:].partition(".")[0]
+        entry = self.entries.get(job_id)
+        if entry is not None:
+            entry.unreadable = True
+
     def list_expired(self, before_ms: int) -> list[str]:
         """Return the jobs that ended before a time (Unix milliseconds)."""
         return [
@@ -171,3 +192,27 @@
         elif key.startswith("a"):
             entry.job = None
             entry.phases = {}
+
+
+def _decode_progress(record: StoredRecord) -> PhaseProgress | None:
+    try:
+        decoded = decode_job_record(record.value)
+    except msgspec.DecodeError as error:
+        _log_unreadable(PROGRESS_STREAM, record, error)
+        return None
+    if isinstance(decoded, PhaseProgress):
+        return decoded
+    _log_unreadable(PROGRESS_STREAM, record, f"{type(decoded).__name__}, no progress")
+    return None
+
+
+def _log_unreadable(stream: str, record: StoredRecord, error: Exception | str) -> None:
+    log_event(
+        _logger,
+        "record-unreadable",
+        logging.WARNING,
+        stream=stream,
+        key=record.key,
+        offset=record.offset,
+        reason=error,
+    )
