End an append that the log refuses for itself

Cause: a batch that the log does not take (another sequence wanted, too large, or a record that it refuses) was sent again for ever and held up all that came after it.

--- a/src/larkhoist/codes.py
+++ b/src/larkhoist/codes.py
@@ -70,6 +70,7 @@
     WORKER_REPLACED = 706
     WORKER_SILENT = 707
     ORDER_REFUSED = 708
+    APPEND_REFUSED = 709
 
 
 _DESCRIPTIONS: dict[Code, tuple[int, str]] = {
@@ -124,6 +125,7 @@
     Code.WORKER_REPLACED: (421, "another incarnation of the worker answers"),
     Code.WORKER_SILENT: (504, "the worker did not answer; the order may act later"),
     Code.ORDER_REFUSED: (503, "the worker did nothing with the order"),
+    Code.APPEND_REFUSED: (400, "the log takes no such records; nothing was appended"),
 }
 
 
--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -108,8 +108,10 @@
         self._create_port = create_port
         self._may_renew_leases = may_renew_leases
         self._give_up = give_up
-        self._writer = StreamWriter(log, JOB_STREAM, OWNER_WRITER, term)
-        self._progress_writer = StreamWriter(log, PROGRESS_STREAM, OWNER_WRITER, term)
+        self._writer = StreamWriter(log, JOB_STREAM, OWNER_WRITER, term, is_term=True)
+        self._progress_writer = StreamWriter(
+            log, PROGRESS_STREAM, OWNER_WRITER, term, is_term=True
+        )
         self.scheduler: FleetScheduler | None = None
         self._sessions: dict[str, WorkerSession] = {}
         self._inbox: list[Message] = []
@@ -435,6 +437,9 @@
         for problem in problems:
             if problem is not None:
                 log_event(_logger, "round-dropped", term=self.term, reason=problem)
+                if problem.code is Code.APPEND_REFUSED:
+                    # The log lacks what this owner believes: only a new one reads it.
+                    self._give_up("the log refuses a round")
                 self._wake.set()
                 return
         for name, number in decided.seen.items():
--- a/tests/control/memory_log.py
+++ b/tests/control/memory_log.py
@@ -23,7 +23,9 @@
     """Hold streams; ``lose`` answers are lost after the append took effect.
 
     A ``silent`` log takes calls and never answers them. ``hold`` appends take effect
-    and are not answered before their time-out.
+    and are not answered before their time-out. ``unwanted`` names writers with the
+    epoch whose sequence it does not want; appends of more than ``largest`` bytes are
+    refused.
     """
 
     def __init__(self):
@@ -33,6 +35,8 @@
         self.silent = False
         self.lose = 0
         self.hold = 0
+        self.unwanted: set[tuple[str, int]] = set()
+        self.largest = float("inf")
         self.appends = 0
         self.reads = 0
         self._epochs: dict[str, int] = {}
@@ -50,7 +54,12 @@
         await self._answer()
         if self.down:
             return Failure(Problem(Code.LOG_UNAVAILABLE))
+        if sum(len(record.value) for record in records) > self.largest:
+            return Failure(Problem(Code.APPEND_REFUSED))
         kept = self.streams.setdefault(stream, [])
+        match guard:
+            case WrittenBy(writer, epoch, _) if (writer, epoch) in self.unwanted:
+                return Failure(Problem(Code.CONDITION_FAILED))
         match guard:
             case AtEnd(offset):
                 if offset != len(kept):
--- a/tests/control/test_streams.py
+++ b/tests/control/test_streams.py
@@ -186,3 +186,48 @@
         await wait_for(lambda: "stream-regained" in caplog.text)
     await follower.close()
     assert follower.is_loaded
+
+
+async def test_a_writer_whose_sequence_the_log_does_not_want_begins_anew(log, writer):
+    # It sent the same batch again for ever, and whoever handed records in waited.
+    assert await writer.commit(record(1)) is None
+    log.unwanted.add(("one", 1))
+    assert await writer.commit(record(2), timeout_s=5.0) is None
+    assert [kept.key for kept in log.streams["jobs"]] == ["k1", "k2"]
+    assert await writer.commit(record(3)) is None
+
+
+async def test_a_term_whose_sequence_the_log_does_not_want_is_over(log):
+    owner = StreamWriter(log, "jobs", "owner", 7, is_term=True)
+    await owner.start()
+    log.unwanted.add(("owner", 7))
+    problem = await owner.commit(record(1), timeout_s=5.0)
+    await owner.close()
+    assert problem.code is Code.FENCED
+    assert owner.fenced
+
+
+async def test_records_that_fill_several_appends_go_one_after_the_other(log, writer):
+    # A round beyond what the log takes in one call was refused and sent for ever.
+    log.largest = 300_000
+    big = tuple(KeyedRecord(f"k{n}", bytes(90_000)) for n in range(9))
+    assert await writer.commit(big, timeout_s=5.0) is None
+    assert [kept.key for kept in log.streams["jobs"]] == [f"k{n}" for n in range(9)]
+
+
+async def test_a_record_that_the_log_refuses_for_itself_does_not_stop_the_others(
+    log, writer
+):
+    log.largest = 300_000
+    log.down = True
+    big = (KeyedRecord("big", bytes(400_000)),)
+    commits = [
+        asyncio.create_task(writer.commit(records, timeout_s=5.0))
+        for records in (record(1), big, record(2))
+    ]
+    await wait_for(lambda: log.appends > 0)
+    log.down = False
+    problems = await asyncio.gather(*commits)
+    assert [p and p.code for p in problems] == [None, Code.APPEND_REFUSED, None]
+    assert await writer.commit(record(3), timeout_s=5.0) is None
+    assert [kept.key for kept in log.streams["jobs"]] == ["k1", "k2", "k3"]
