End a gang that loses workers soon after each of its starts

Cause: an attempt that lost a member went back into the queue without a count, and an owner began its count of failures with none. Longer runs start the count anew, since gangs of a thousand members lose some in any long run.

--- a/src/larkhoist/daemon/hall_owner.py
+++ b/src/larkhoist/daemon/hall_owner.py
@@ -271,7 +271,14 @@
         scheduler = self.scheduler
         if job_id not in scheduler.jobs:
             age_s = max(0, self._keeper.state.log_ms - entry.submitted_ms) / 1000
-            scheduler.add_job(entry.spec, entry.attempt, now_s - age_s, recovering)
+            scheduler.add_job(
+                entry.spec,
+                entry.attempt,
+                now_s - age_s,
+                recovering,
+                entry.failures,
+                entry.early_losses,
+            )
             self._claimed.discard(job_id)
         if entry.state is JobState.PLACED:
             scheduler.note_placed(job_id, entry.attempt, entry.workers)
--- a/src/larkhoist/log/fold.py
+++ b/src/larkhoist/log/fold.py
@@ -36,6 +36,7 @@
 )
 
 __all__ = [
+    "count_early_loss",
     "CLAIM_WINDOW_MS",
     "LogGapError",
     "fold_batch",
@@ -201,8 +202,10 @@
             if _is_current(job, hall, attempt):
                 job.state = JobState.PLACED
                 job.workers = workers
-        case JobRequeued(_, hall, attempt, code):
+        case JobRequeued(_, hall, attempt, code, lost_early):
             if _is_current(job, hall, attempt):
+                job.failures += code == Code.JOB_FAILED
+                job.early_losses = count_early_loss(job.early_losses, lost_early)
                 job.state = JobState.CLAIMED
                 job.attempt = attempt + 1
                 job.code = code
@@ -212,6 +215,17 @@
                 _end_job(state, job, code)
 
 
+def count_early_loss(before: int, lost_early: bool | None) -> int:
+    """Return how many attempts in a row lost a member soon after their start."""
+    match lost_early:
+        case None:
+            return before
+        case True:
+            return before + 1
+        case _:
+            return 0
+
+
 def _is_current(job: JobEntry, hall: str, attempt: int) -> bool:
     return job.hall == hall and job.attempt == attempt
 
--- a/src/larkhoist/log/records.py
+++ b/src/larkhoist/log/records.py
@@ -121,12 +121,17 @@
 
 
 class JobRequeued(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Note that an attempt has ended everywhere and that the job waits again."""
+    """Note that an attempt has ended everywhere and that the job waits again.
+
+    ``lost_early`` tells whether it lost a member with its worker soon after its start;
+    None where it lost none, or nobody knows.
+    """
 
     job_id: str
     hall: str
     attempt: int
     code: int
+    lost_early: bool | None = None
 
 
 class JobFinished(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/src/larkhoist/log/state.py
+++ b/src/larkhoist/log/state.py
@@ -28,7 +28,11 @@
 
 
 class JobEntry(msgspec.Struct):
-    """Hold one job; ``attempt`` counts from 1 and fences late reports."""
+    """Hold one job; ``attempt`` counts from 1 and fences late reports.
+
+    ``failures`` counts attempts that failed, ``early_losses`` those in a row that lost a
+    member with its worker soon after their start.
+    """
 
     spec: JobSpec
     submitted_ms: int
@@ -39,6 +43,8 @@
     cancelled: bool = False
     ended_ms: int = 0
     workers: tuple[str, ...] = ()
+    failures: int = 0
+    early_losses: int = 0
 
 
 class ClaimEntry(msgspec.Struct):
--- a/src/larkhoist/scheduling/attempt.py
+++ b/src/larkhoist/scheduling/attempt.py
@@ -50,6 +50,9 @@
     ENDED = "ended"
 
 
+_AT_WORK = (Phase.STARTING, Phase.RUNNING, Phase.RECLAIMING)
+
+
 class MemberState(Enum):
     """Name what is known of one member."""
 
@@ -90,7 +93,10 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """Hold one attempt of one job."""
+    """Hold one attempt of one job.
+
+    ``lost_member`` tells that a member was lost with its worker after the start.
+    """
 
     spec: JobSpec
     hall: str
@@ -105,6 +111,7 @@
     may_have_run: bool = False
     code: Code = Code.JOB_FINISHED
     failed_workers: list[str] = field(default_factory=list)
+    lost_member: bool = False
 
     def begin(self, now_s: float) -> list[Effect]:
         """Ask every worker to prepare its members."""
@@ -173,6 +180,7 @@
         for member in self.members:
             if member.place.worker in idle and member.state not in _OVER:
                 member.state = MemberState.GONE
+                self.lost_member |= self.phase in _AT_WORK
 
     def step(self, now_s: float, noted: bool) -> list[Effect]:
         """Move on as far as the members' states allow.
@@ -314,6 +322,7 @@
         # worker; it is dropped there when its hold runs out.
         if self.phase is Phase.STOPPING or member.state is not MemberState.ASKED:
             member.state = MemberState.GONE
+            self.lost_member |= self.phase in _AT_WORK
 
     def _command_all(self, verb: Verb) -> list[Effect]:
         return [
--- a/src/larkhoist/scheduling/hall.py
+++ b/src/larkhoist/scheduling/hall.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Mapping
 
 from larkhoist.codes import Code
+from larkhoist.log.fold import count_early_loss
 from larkhoist.log.objects import CustomerSpec, JobSpec
 from larkhoist.log.records import JobFinished, JobRequeued
 from larkhoist.placement.index import MemberPlace
@@ -75,11 +76,23 @@
         self._guarantees.customers = dict(customers)
 
     def add_job(
-        self, spec: JobSpec, attempt: int, now_s: float, recovering: bool = False
+        self,
+        spec: JobSpec,
+        attempt: int,
+        now_s: float,
+        recovering: bool = False,
+        failures: int = 0,
+        early_losses: int = 0,
     ) -> None:
-        """Take a job into the hall; ``recovering`` where it may run already."""
+        """Take a job into the hall; ``recovering`` where it may run already.
+
+        ``failures`` and ``early_losses`` are what the log has counted so far.
+        """
         phase = JobPhase.RECOVERING if recovering else JobPhase.WAITING
-        self.jobs[spec.job_id] = HallJob(spec, now_s, attempt, phase)
+        job = HallJob(spec, now_s, attempt, phase)
+        job.failures = failures
+        job.early_losses = early_losses
+        self.jobs[spec.job_id] = job
         if phase is JobPhase.WAITING:
             self._note_waiting(spec.job_id)
 
@@ -233,13 +246,26 @@
             job.failures += code is Code.JOB_FAILED
             if job.failures >= self.policy.max_failures:
                 return self._end_job(job, Code.JOB_FAILED)
+        lost_early = self._tell_early_loss(attempt, now_s)
+        job.early_losses = count_early_loss(job.early_losses, lost_early)
+        if job.early_losses >= self.policy.max_early_losses:
+            return self._end_job(job, Code.MEMBER_LOST)
         ran = attempt.may_have_run and not attempt.is_checkpointed
         if ran and not job.spec.repeatable:
             return self._end_job(job, code)
-        return self._requeue(job, code)
+        return self._requeue(job, code, lost_early)
+
+    def _tell_early_loss(self, attempt: Attempt, now_s: float) -> bool | None:
+        if not attempt.lost_member:
+            return None
+        began_s = attempt.started_s or now_s
+        return now_s - began_s < self.policy.early_loss_s
 
-    def _requeue(self, job: HallJob, code: Code) -> list[Effect]:
-        record = JobRequeued(job.spec.job_id, self.hall, job.attempt, code)
+    def _requeue(
+        self, job: HallJob, code: Code, lost_early: bool | None = None
+    ) -> list[Effect]:
+        job_id = job.spec.job_id
+        record = JobRequeued(job_id, self.hall, job.attempt, code, lost_early)
         effects: list[Effect] = [Append(record)]
         if job.current is not None:
             effects += job.current.forget()
--- a/src/larkhoist/scheduling/hall_job.py
+++ b/src/larkhoist/scheduling/hall_job.py
@@ -33,6 +33,7 @@
 class HallJob:
     """Hold one job; ``held`` are accelerators kept while others are reclaimed.
 
+    ``failures`` and ``early_losses`` count as the log does, over owners.
     ``placed_attempt`` and ``placed_workers`` are what the log says of its newest
     start.
     """
@@ -47,6 +48,7 @@
     placed_attempt: int = 0
     placed_workers: tuple[str, ...] = ()
     failures: int = 0
+    early_losses: int = 0
     held: list[MemberPlace] = field(default_factory=list)
     reservation: Reservation | None = None
     code: int = 0
--- a/tests/promises/hall_machine.py
+++ b/tests/promises/hall_machine.py
@@ -241,7 +241,14 @@
             if entry.hall != HALL:
                 continue
             if job_id not in scheduler.jobs:
-                scheduler.add_job(entry.spec, entry.attempt, self.now_s, recovering)
+                scheduler.add_job(
+                    entry.spec,
+                    entry.attempt,
+                    self.now_s,
+                    recovering,
+                    entry.failures,
+                    entry.early_losses,
+                )
             if entry.state is JobState.PLACED:
                 scheduler.note_placed(job_id, entry.attempt, entry.workers)
             if entry.cancelled:
