--- a/src/larkhoist/log/state.py
+++ b/src/larkhoist/log/state.py
@@ -30,8 +30,8 @@
 class JobEntry(msgspec.Struct):
     """Hold one job; ``attempt`` counts from 1 and fences late reports.
 
-    ``failures`` counts attempts that failed, ``early_losses`` those in a row that lost a
-    member with its worker soon after their start.
+    ``failures`` counts attempts that failed, ``early_losses`` those in a row that lost
+    a member with its worker soon after their start.
     """
 
     spec: JobSpec
