--- a/lab/arrivals.py
+++ b/lab/arrivals.py
@@ -1,12 +1,13 @@
 """Draw the jobs of a day from its plan and a seed, one stream of chance a purpose."""
 
+import dataclasses
 import math
 import random
 from dataclasses import dataclass
 
 from msgspec.structs import replace
 
-from lab.kinds import DayPlan, JobKind
+from lab.kinds import CrashingWork, DayPlan, JobKind
 from larkhoist.jobs.spec import JobTerms, StagedJob, StepSpec
 
 __all__ = ["Arrival", "draw_arrivals", "get_rack", "get_shares"]
@@ -16,7 +17,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """Hold a job, when it comes and what its tasks really take, by step and index."""
+    """Hold a job, when it comes and what its tasks really take, by step and index.
+
+    The first task of one that ``crashes`` ends each worker that starts it.
+    """
 
     at_s: float
     kind: JobKind
@@ -24,6 +28,7 @@
     work_s: tuple[tuple[float, ...], ...]
     cancel_s: float | None
     hopeless: bool
+    crashes: bool = False
 
     @property
     def chain_s(self) -> float:
@@ -49,6 +54,11 @@
         for at_s in _draw_times(plan, kind, times):
             number = len(arrivals)
             arrivals.append(_draw_job(plan, kind, number, at_s, shapes))
+    crashing = random.Random(f"crashing {seed}")
+    share = sum(f.share for f in plan.faults if isinstance(f, CrashingWork))
+    arrivals = [
+        dataclasses.replace(one, crashes=crashing.random() < share) for one in arrivals
+    ]
     return sorted(arrivals, key=lambda one: (one.at_s, one.job.job_id))
 
 
--- a/lab/kinds.py
+++ b/lab/kinds.py
@@ -5,7 +5,15 @@
 
 from larkhoist.ports.fleet import Resources
 
-__all__ = ["Burst", "DayPlan", "FailingWorkers", "Fault", "JobKind", "SlowWorkers"]
+__all__ = [
+    "Burst",
+    "CrashingWork",
+    "DayPlan",
+    "FailingWorkers",
+    "Fault",
+    "JobKind",
+    "SlowWorkers",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +87,14 @@
     share: float
 
 
-Fault = SlowWorkers | FailingWorkers
+@dataclass(frozen=True, slots=True)
+class CrashingWork:
+    """Have a share of all jobs crash each worker that starts their first task."""
+
+    share: float
+
+
+Fault = SlowWorkers | FailingWorkers | CrashingWork
 
 
 @dataclass(frozen=True, slots=True)
--- a/lab/plans.py
+++ b/lab/plans.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from lab.kinds import Burst, DayPlan, FailingWorkers, JobKind, SlowWorkers
+from lab.kinds import Burst, CrashingWork, DayPlan, FailingWorkers, JobKind, SlowWorkers
 from larkhoist.ports.fleet import Resources
 
 __all__ = ["PLANS", "make_plan"]
@@ -112,7 +112,8 @@
     load=1.0,
     faults=(SlowWorkers(6.0, 7.0, 0.17, 6.5), FailingWorkers(10.7, 7.0, 0.07)),
 )
-PLANS = {plan.name: plan for plan in (CALM, BURSTS, FAULTS)}
+CRASHES = replace(CALM, name="crashes", load=0.75, faults=(CrashingWork(0.01),))
+PLANS = {plan.name: plan for plan in (CALM, BURSTS, FAULTS, CRASHES)}
 
 
 def make_plan(name: str, workers: int, load: float = 1.0) -> DayPlan:
--- a/lab/replay.py
+++ b/lab/replay.py
@@ -1,5 +1,6 @@
 """Replay a day: arrivals, workers and the real scheduler on one virtual clock."""
 
+import dataclasses
 import time
 from dataclasses import dataclass
 
@@ -7,7 +8,7 @@
 from lab.events import Events
 from lab.kinds import DayPlan
 from lab.result import DayResult, account
-from lab.workers import LabWorkers, StopOver, WorkOver
+from lab.workers import LabWorkers, StopOver, WorkerCrash, WorkOver
 from larkhoist.codes import Code
 from larkhoist.fleet.effects import Round, StartTask, StopTask
 from larkhoist.fleet.policy import FleetPolicy
@@ -19,6 +20,10 @@
 
 __all__ = ["replay"]
 
+NOTICE_S = 0.02
+"""How soon a crashed worker's open call tells that it is gone."""
+BACK_S = 3.2
+"""After which another life answers at a crashed worker's address, as measured."""
 START_DELAY_S = 0.015
 """From a decision to start until the worker has the order: an append and a call."""
 STOP_DELAY_S = 0.003
@@ -56,6 +61,21 @@
     ended: EndedTask
 
 
+@dataclass(frozen=True, slots=True)
+class _Silent:
+    worker: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Probed:
+    worker: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Back:
+    worker: str
+
+
 @dataclass(frozen=True, slots=True)
 class _Decide:
     pass
@@ -78,6 +98,8 @@
         self._ended_s: dict[str, float] = {}
         self._began_s: dict[str, float] = {}
         self._failed: set[str] = set()
+        self._given_up: set[str] = set()
+        self._listed: dict[str, ListedTaskWorker] = {}
         self._inbox: list[_End] = []
         self._decides_s: float | None = None
         self._decided_s = float("-inf")
@@ -101,6 +123,8 @@
             plan, self._arrivals, self._ended_s, self._failed, self._began_s
         )
         result.waste = self._workers.waste
+        innocent = {a.job.job_id for a in self._arrivals if not a.crashes}
+        result.given_up = len(self._given_up & innocent)
         result.used = self._used
         result.decisions = len(self._took_s)
         result.took_s = sum(self._took_s)
@@ -109,17 +133,14 @@
 
     def _list_workers(self) -> None:
         plan = self._plan
-        listed = []
         for number in range(plan.workers):
             rack = get_rack(plan, number)
             name = f"w{number}"
             labels = frozenset(("a", rack))
-            listed.append(
-                ListedTaskWorker(
-                    name, SERVICE, name, "hall", rack, labels, plan.room, False, None, 0
-                )
+            self._listed[name] = ListedTaskWorker(
+                name, SERVICE, name, "hall", rack, labels, plan.room, False, None, 0
             )
-        self._scheduler.take_list(listed, 0.0)
+        self._scheduler.take_list(self._listed.values(), 0.0)
         for name in list(self._scheduler.state.workers):
             self._scheduler.note_heard(name, 0.0)
         total = plan.workers * plan.room.accelerators * plan.guaranteed
@@ -136,9 +157,20 @@
             case _Cancel(job_id):
                 self._scheduler.cancel_job(job_id, now_s, round(now_s * 1000))
             case _Start(order):
-                self._workers.start(order, now_s)
-                self._note_begun(order, now_s)
+                self._start(order, now_s)
                 return
+            case WorkerCrash(worker):
+                if self._workers.take_crash(worker, now_s):
+                    self._events.add(now_s + NOTICE_S, _Silent(worker))
+                    self._events.add(now_s + BACK_S, _Back(worker))
+                return
+            case _Silent(worker):
+                self._scheduler.note_silent(worker, now_s)
+            case _Probed(worker):
+                if not self._workers.is_dead(worker):
+                    self._scheduler.note_heard(worker, now_s)
+            case _Back(worker):
+                self._replace_worker(worker, now_s)
             case _Stop(order):
                 self._workers.stop(order, now_s)
                 return
@@ -158,6 +190,25 @@
                 return
         self._ask_decision(now_s)
 
+    def _start(self, order: StartTask, now_s: float) -> None:
+        if self._workers.is_dead(order.worker):
+            self._scheduler.take_start_answer(
+                order.task, order.attempt, Code.WORKER_SILENT, True, now_s
+            )
+            return
+        self._workers.start(order, now_s)
+        self._note_begun(order, now_s)
+
+    def _replace_worker(self, worker: str, now_s: float) -> None:
+        """List another life of a worker at the place of one that has crashed."""
+        former = self._listed.pop(worker)
+        place, _, life = worker.partition(".")
+        name = f"{place}.{int(life or 0) + 1}"
+        self._listed[name] = dataclasses.replace(former, name=name)
+        self._scheduler.take_list(self._listed.values(), now_s)
+        self._scheduler.note_replaced(worker, now_s)
+        self._scheduler.note_heard(name, now_s)
+
     def _note_begun(self, order: StartTask, now_s: float) -> None:
         self._began_s.setdefault(order.task.partition(".")[0], now_s)
         self._scheduler.take_start_answer(order.task, order.attempt, None, False, now_s)
@@ -198,6 +249,11 @@
                 self._ended_s[record.job_id] = now_s
                 if record.code == Code.JOB_FAILED:
                     self._failed.add(record.job_id)
+        for note in decided.notes:
+            if note.event == "job-given-up":
+                self._given_up.add(note.fields["job"])
+        for name in decided.probes:
+            self._events.add(now_s + REPORT_DELAY_S, _Probed(name))
         for order in decided.starts:
             self._events.add(now_s + START_DELAY_S, _Start(order))
         for order in decided.stops:
--- a/lab/result.py
+++ b/lab/result.py
@@ -45,6 +45,7 @@
     customers: dict[str, KindResult] = field(default_factory=dict)
     waste: Waste = field(default_factory=Waste)
     used: list[float] = field(default_factory=list)
+    given_up: int = 0
     decisions: int = 0
     took_s: float = 0.0
     longest_s: float = 0.0
@@ -96,7 +97,7 @@
     customers: dict[str, KindResult] = defaultdict(KindResult)
     sizes = _get_mean_sizes(arrivals)
     for arrival in arrivals:
-        if arrival.cancel_s is not None:
+        if arrival.cancel_s is not None or arrival.crashes:
             continue
         job_id = arrival.job.job_id
         size = min(
--- a/lab/rows.py
+++ b/lab/rows.py
@@ -23,6 +23,9 @@
     "customers",
     "wasted",
     "stops",
+    "crashes",
+    "lost",
+    "given_up",
     "used",
     "longest_ms",
     "decide_s",
@@ -32,6 +35,9 @@
 class DayRow(msgspec.Struct, frozen=True):
     """Hold the figures of one day; ``served`` is by kind of job.
 
+    ``crashes`` counts workers that work crashed, ``lost`` the runs of others that ended
+    with them, ``given_up`` jobs that are shown as failed without a fault of their own.
+
     ``longest_ms`` is the longest decision, ``decide_s`` all of them, on this machine.
     """
 
@@ -43,6 +49,9 @@
     customers: float
     wasted: float
     stops: float
+    crashes: float
+    lost: float
+    given_up: float
     used: float
     longest_ms: float
     decide_s: float
@@ -65,6 +74,9 @@
         result.worst_customers,
         result.wasted,
         result.waste.stops,
+        result.waste.crashes,
+        result.waste.lost,
+        result.given_up,
         mean(result.used),
         result.longest_s * 1000,
         result.took_s,
--- a/lab/workers.py
+++ b/lab/workers.py
@@ -9,11 +9,14 @@
 
 from lab.arrivals import Arrival
 from lab.events import Events
-from lab.kinds import DayPlan, FailingWorkers, SlowWorkers
+from lab.kinds import CrashingWork, DayPlan, FailingWorkers, SlowWorkers
 from larkhoist.fleet.effects import StartTask, StopTask
 from larkhoist.ports.task_worker import EndedTask, EndKind
 
-__all__ = ["LabWorkers", "Waste"]
+__all__ = ["LabWorkers", "Waste", "WorkerCrash"]
+
+CRASHES_AFTER_S = 0.01
+"""How soon work that crashes its worker does so, as seen on the users' machines."""
 
 FAILS_AFTER_S = 0.5
 """How long a task runs on a worker that fails all that it starts."""
@@ -62,16 +65,33 @@
     run: Run
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerCrash:
+    """Tell that a worker has crashed with all that runs there."""
+
+    worker: str
+
+
 @dataclass(slots=True)
 class Waste:
-    """Count core-seconds of work that was thrown away, and stops."""
+    """Count core-seconds of work that was thrown away, and stops.
+
+    ``lost`` counts runs of other jobs that ended with their worker, or by that.
+    """
 
     core_s: float = 0.0
+    lost: int = 0
+    crashes: int = 0
     stops: int = 0
     broken: int = 0
     failed: int = 0
 
 
+def get_number(worker: str) -> int:
+    """Return the place of a worker; its later lives have it too."""
+    return int(worker[1:].partition(".")[0])
+
+
 class LabWorkers:
     """Hold what runs; ends are handed to ``report`` with the worker's name."""
 
@@ -89,10 +109,12 @@
         self.waste = Waste()
         paces = random.Random(f"speeds {seed}")
         self._speeds = [paces.choice(plan.speeds) for _ in range(plan.workers)]
+        self._dead: set[str] = set()
         faulty = random.Random(f"faults {seed}")
         self._hit = [
             (fault, {n for n in range(plan.workers) if faulty.random() < fault.share})
             for fault in plan.faults
+            if not isinstance(fault, CrashingWork)
         ]
 
     def know(self, arrival: Arrival) -> None:
@@ -101,7 +123,10 @@
 
     def start(self, order: StartTask, now_s: float) -> None:
         """Begin an attempt; a gang works once all its members are there."""
-        if self._stopped.get(order.task, 0) >= order.attempt:
+        if (
+            self._stopped.get(order.task, 0) >= order.attempt
+            or order.worker in self._dead
+        ):
             return
         phase, _, _ = order.task.rpartition(".")
         job_id, _, step = phase.split(".")
@@ -115,6 +140,9 @@
         run = Run(order.task, order.attempt, order.worker, now_s)
         team.runs[order.task] = run
         self._runs[(order.task, order.attempt)] = run
+        if arrival.crashes and order.task.endswith(".0.0.0"):
+            crash = WorkerCrash(order.worker)
+            self._events.add(now_s + CRASHES_AFTER_S, crash)
         if len(team.runs) == team.size:
             self._begin_work(key, team, bool(order.checkpoint), now_s)
 
@@ -129,6 +157,36 @@
         took_s = self._plan.stop_s * self._chance.uniform(0.2, 1.0)
         self._events.add(now_s + took_s, StopOver(run))
 
+    def is_dead(self, worker: str) -> bool:
+        """Tell whether a worker has crashed; its next life has another name."""
+        return worker in self._dead
+
+    def take_crash(self, worker: str, now_s: float) -> bool:
+        """End all that runs on a worker, unheard; False where it had crashed before."""
+        if worker in self._dead:
+            return False
+        self._dead.add(worker)
+        self.waste.crashes += 1
+        for key, team in list(self._teams.items()):
+            lost = [run for run in team.runs.values() if run.worker == worker]
+            if lost:
+                self._lose(key, team, lost, now_s)
+        return True
+
+    def _lose(self, key, team: Team, lost: list[Run], now_s: float) -> None:
+        for run in lost:
+            del team.runs[run.task]
+            del self._runs[(run.task, run.attempt)]
+            if not team.arrival.crashes:
+                self.waste.lost += 1
+                self._count_waste(team, run, EndKind.BROKEN, now_s)
+        if team.works_since_s is not None:
+            for other in list(team.runs.values()):
+                del team.runs[other.task]
+                self._end(team, other, EndKind.BROKEN, now_s)
+        if not team.runs or team.works_since_s is not None:
+            del self._teams[key]
+
     def take_work_over(self, event: WorkOver, now_s: float) -> None:
         """End a team whose work is over."""
         if self._teams.get(event.key) is not event.team:
@@ -190,7 +248,7 @@
         return drawn or any(self._is_failing(run, now_s) for run in runs)
 
     def _is_failing(self, run: Run, now_s: float) -> bool:
-        number = int(run.worker[1:])
+        number = get_number(run.worker)
         return any(
             isinstance(fault, FailingWorkers)
             and number in hit
@@ -200,20 +258,20 @@
 
     def _get_factor(self, team: Team, runs: list[Run], now_s: float) -> float:
         spec = team.arrival.job.steps[team.step]
-        racks = {int(run.worker[1:]) // self._plan.per_rack for run in runs}
+        racks = {get_number(run.worker) // self._plan.per_rack for run in runs}
         factor = 1.0
         if spec.same_rack and len(racks) > 1:
             factor *= self._plan.far_factor
         if spec.data_rack and any(f"r{rack}" != spec.data_rack for rack in racks):
             factor *= self._plan.far_factor
-        slowest = max(self._speeds[int(run.worker[1:])] for run in runs)
+        slowest = max(self._speeds[get_number(run.worker)] for run in runs)
         for fault, hit in self._hit:
             if not isinstance(fault, SlowWorkers):
                 continue
             if not fault.at_s <= now_s < fault.at_s + fault.for_s:
                 continue
             for run in runs:
-                number = int(run.worker[1:])
+                number = get_number(run.worker)
                 if number in hit:
                     slowest = max(slowest, fault.factor * self._speeds[number])
         return factor * slowest
