Follow the room of workers that shrinks and grows

Cause: a worker's room was taken from its first entry alone. Change: each newer entry's room counts, what is being stopped included; a plan on a worker that can never hold it any more is dropped. Before: 24 refused starts in 3 s beside a full room, urgent work never begun.

--- a/src/larkhoist/fleet/room_maker.py
+++ b/src/larkhoist/fleet/room_maker.py
@@ -62,6 +62,10 @@
             return True
         for worker in workers:
             wanted = sum(other is worker for other in workers)
+            if worker.capacity.count_fitting(phase.need) < wanted:
+                # The room has shrunk: the stops would be waited for in vain.
+                state.drop_plan(phase)
+                return True
             room = worker.capacity - worker.used
             if room.count_fitting(phase.need) < wanted:
                 return False
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -315,6 +315,15 @@
             if entry.remaining_s is not None:
                 worker.leaves_s = now_s + entry.remaining_s
             self._clear_leaving(worker, now_s)
+        if entry.capacity != worker.capacity:
+            self.state.note(
+                "worker-resized",
+                worker=worker.name,
+                before=_format_room(worker.capacity),
+                now=_format_room(entry.capacity),
+                used=_format_room(worker.used),
+            )
+            worker.resize(entry.capacity)
         if not worker.listed:
             worker.listed = True
             worker.unlisted_s = None
@@ -366,6 +375,11 @@
         return policy.predecessor_s + policy.lapse_s
 
 
+def _format_room(room: Resources) -> str:
+    """Return thousandths of a core, MB and accelerators."""
+    return f"{room.cpu_milli}/{room.memory_mb}/{room.accelerators}"
+
+
 def create_fleet_scheduler(policy: FleetPolicy, now_s: float) -> FleetScheduler:
     """Return a scheduler whose owner has just begun its tenure."""
     return FleetScheduler(policy, now_s)
--- a/src/larkhoist/fleet/worker.py
+++ b/src/larkhoist/fleet/worker.py
@@ -59,6 +59,11 @@
         self.address = listed.address
         self.free = self.capacity - self.used
 
+    def resize(self, capacity: Resources) -> None:
+        """Take over another room; what runs there may be more than fits by now."""
+        self.free += capacity - self.capacity
+        self.capacity = capacity
+
     def use(self, need: Resources) -> None:
         """Take room for a task that may run."""
         self.used += need
