--- a/src/larkhoist/control/stream_writer.py
+++ b/src/larkhoist/control/stream_writer.py
@@ -118,7 +118,7 @@
             async with asyncio.timeout(timeout_s):
                 kept = await asyncio.shield(pending.done)
         except TimeoutError:
-            return self._give_up(pending)
+            return self._give_up(pending, may_be_kept=bool(ahead))
         if any(part.refused for part in (*ahead, pending)):
             return Problem(Code.APPEND_REFUSED)
         if kept:
@@ -144,9 +144,12 @@
             for part in parts
         ]
 
-    def _give_up(self, pending: _Pending) -> Problem:
-        if not pending.sent and pending in self._queue:
+    def _give_up(self, pending: _Pending, *, may_be_kept: bool) -> Problem:
+        """Withdraw records; ``may_be_kept`` where a part of them went ahead."""
+        withdrawn = not pending.sent and pending in self._queue
+        if withdrawn:
             self._queue.remove(pending)
+        if withdrawn and not may_be_kept:
             return Problem(Code.LOG_UNAVAILABLE, retry_after_s=RETRY_AFTER_S)
         return Problem(Code.APPEND_UNKNOWN, retry_after_s=RETRY_AFTER_S)
 
--- a/src/larkhoist/fleet/crashes.py
+++ b/src/larkhoist/fleet/crashes.py
@@ -17,6 +17,8 @@
 MOST_BLAMED = 3
 """So many crashes that a task most likely caused end it. The users allow two to do; but
 what merely ran beside such a task may well meet it twice (``APART_WAIT_S``)."""
+MANY_LOST = 3
+"""From so many lost workers on, the starts of a task are counted."""
 MOST_LATE_STARTS = 2
 """How often a task is started at the most after the third lost worker, however those
 starts end; the users allow less than three."""
@@ -75,7 +77,7 @@
 
 def note_start(task: Task) -> None:
     """Count the start of a task under which many workers were lost."""
-    if task.lost.count >= MOST_BLAMED:
+    if task.lost.count >= MANY_LOST:
         task.lost = replace(task.lost, late_starts=task.lost.late_starts + 1)
 
 
--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -140,7 +140,7 @@
         if tier > Tier.URGENT and not may_reserve and not self._may_fit(phase):
             self._note_wait(phase, TOO_LITTLE_ROOM, tier, self.usable)
             return
-        if _has_suspects(phase) and waited_s < APART_WAIT_S:
+        if self._has_suspects(phase) and waited_s < APART_WAIT_S:
             groups, reason = self._start_apart(tier, anywhere, active, phase)
         else:
             groups = self._get_groups(tier, anywhere, active, phase)
@@ -251,13 +251,18 @@
             self._choose_pace(tier, phase),
         )
 
+    def _has_suspects(self, phase: Phase) -> bool:
+        if not self.state.suspects:
+            return False
+        return any(task.lost.blamed for task in phase.get_waiting())
+
     def _choose_pace(self, tier: Tier, phase: Phase):
         """Return by what workers are preferred, None for those with least room.
 
         What may crash its worker goes where the least runs: of 270 workers it then ends
         14 runs of others in a day instead of 29 (replay of crashes, 8 days).
         """
-        if _has_suspects(phase):
+        if self._has_suspects(phase):
             return _count_tasks
         if tier <= Tier.URGENT or phase.spec.gang:
             return self._get_pace
@@ -398,10 +403,6 @@
     return len(worker.tasks)
 
 
-def _has_suspects(phase: Phase) -> bool:
-    return any(task.lost.blamed for task in phase.get_waiting())
-
-
 def _count_free(group: WorkerGroup) -> int:
     return sum(worker.free.accelerators for worker in group.workers)
 
--- a/src/larkhoist/fleet/worker.py
+++ b/src/larkhoist/fleet/worker.py
@@ -15,10 +15,9 @@
     stopped; held room makes it negative while the others still run. After
     ``lease_end_s`` nothing runs there unless a lease was renewed. ``heard_s`` is when
     this owner made the last call that was answered, ``silent_s`` when it fell silent.
-    ``unlisted_s`` is since when its
-    entry is off the list, ``refused_pause_s`` how long the last refusal in a row has
-    paused it; ``strays`` holds the attempts by task that its last report named and
-    nobody wants.
+    ``unlisted_s`` is since when its entry is off the list, ``refused_pause_s`` how long
+    the last refusal in a row has paused it; ``strays`` holds the attempts by task that
+    its last report named and nobody wants.
     """
 
     name: str
