--- a/lab/rows.py
+++ b/lab/rows.py
@@ -49,13 +49,13 @@
     customers: float
     wasted: float
     stops: float
-    crashes: float
-    lost: float
-    given_up: float
     used: float
     longest_ms: float
     decide_s: float
     served: dict[str, float]
+    crashes: float = 0.0
+    lost: float = 0.0
+    given_up: float = 0.0
 
     @property
     def day(self) -> tuple[str, int, int]:
@@ -74,13 +74,13 @@
         result.worst_customers,
         result.wasted,
         result.waste.stops,
-        result.waste.crashes,
-        result.waste.lost,
-        result.given_up,
         mean(result.used),
         result.longest_s * 1000,
         result.took_s,
         {name: kind.served for name, kind in result.kinds.items()},
+        result.waste.crashes,
+        result.waste.lost,
+        result.given_up,
     )
 
 
