End by time the wait for a quarantined worker to calm down

Work with attempts left waited for 2 s of calm on top of its own 2 s in the same way.

Change: after 2.5 s of waiting that its owner has seen, a phase asks for no calm. The time asked for is part of its leeway, so that phases of one shape that ask for different times are not taken for each other within a pass.

--- a/src/larkhoist/fleet/eligibility.py
+++ b/src/larkhoist/fleet/eligibility.py
@@ -1,6 +1,11 @@
 """Tell which workers a phase may go to in one pass, and which it leaves out."""
 
-from larkhoist.fleet.leeway import Leeway, count_together, make_leeway
+from larkhoist.fleet.leeway import (
+    Leeway,
+    count_together,
+    get_calm_s,
+    make_leeway,
+)
 from larkhoist.fleet.placing import WorkerGroups, count_capacity, list_eligible
 from larkhoist.fleet.ranking import Tier
 from larkhoist.fleet.room import ServiceRoom, count_service_rooms
@@ -11,18 +16,12 @@
 
 __all__ = ["Eligibility"]
 
-PROBE_AFTER_S = 2.0
-"""After this time without a failure a worker in quarantine may be tried with work that
-has waited for long and finds no other room."""
-RISKY_PROBE_AFTER_S = 6.0
-"""The same for work that would be given up after one more failure; what makes all tasks
-of a worker fail lasts for 4 to 7 s on the users' machines."""
-
 
 class Eligibility:
     """Hold the workers that may get work now, and how much of it they have room for.
 
-    ``usable`` ones may get any, ``held`` ones are in quarantine and may be tried.
+    ``usable`` ones may get any, ``held`` ones are in quarantine and may be tried once
+    they have failed nothing for as long as a phase waits for.
     """
 
     def __init__(self, state: FleetState, now_s: float):
@@ -37,7 +36,7 @@
         for worker in state.workers.values():
             if state.is_usable(worker, now_s):
                 self.usable.append(worker)
-            elif state.may_probe(worker, PROBE_AFTER_S, now_s):
+            elif state.may_probe(worker, 0.0, now_s):
                 self.held.append(worker)
 
     def get_leeway(self, active: ActiveJob, phase: Phase) -> Leeway:
@@ -49,7 +48,8 @@
             self._rooms = count_service_rooms(self._state)
         room = self._rooms.get(active.job.terms.service, ServiceRoom())
         fitting = self._count_room(active.job.terms.service, phase)
-        return make_leeway(phase, room.used, room.total, fitting, policy)
+        calm_s = get_calm_s(active, phase, self._now_s)
+        return make_leeway(phase, room.used, room.total, fitting, calm_s, policy)
 
     def forget_room(self) -> None:
         """Have the room counted anew, since something has started."""
@@ -103,9 +103,9 @@
         """Return the usable workers and those in quarantine that may be tried."""
         groups = self.list_unreserved(tier, leeway, active, phase)
         held = list_eligible(self.held, active.job.terms.service, phase.spec)
-        if _is_last_attempt(active, phase):
-            held = [worker for worker in held if self._has_long_calmed(worker)]
-        return WorkerGroups([*groups.whole.workers, *held])
+        state, now_s = self._state, self._now_s
+        calm = [w for w in held if state.may_probe(w, leeway.calm_s, now_s)]
+        return WorkerGroups([*groups.whole.workers, *calm])
 
     def _get_usable(self, service: str, phase: Phase) -> WorkerGroups:
         key = (service, phase.spec.label, phase.need)
@@ -133,14 +133,3 @@
             count = sum(worker.free.count_fitting(phase.need) for worker in both)
             self._room[key] = count
         return count
-
-    def _has_long_calmed(self, worker: FleetWorker) -> bool:
-        return self._state.may_probe(worker, RISKY_PROBE_AFTER_S, self._now_s)
-
-
-def _is_last_attempt(active: ActiveJob, phase: Phase) -> bool:
-    """Tell whether one more failure of a task would end the job."""
-    if phase.spec.long_running:
-        return False
-    most = active.job.terms.max_attempts
-    return any(task.failures + 1 >= most for task in phase.get_waiting())
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -341,6 +341,7 @@
                 task.saved_s = now_s
                 task.settled_s = now_s
                 self._occupy(phase, task, task.worker)
+        phase.known_since_s = now_s
         # A new owner can't tell how long a former one let it wait.
         known_s = now_s - self.policy.longest_wait_s + self.policy.taken_over_wait_s
         phase.unserved_since_s = max(phase.due_s, known_s)
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -93,8 +93,8 @@
 
     While tasks wait, ``unserved_since_s`` is since when none has started; neither a
     failure nor a stop of others begins it anew, nor a start that was refused, for which
-    ``unserved_before_s`` keeps what it was. ``noted_s`` is when a wait was last
-    logged.
+    ``unserved_before_s`` keeps what it was. ``known_since_s`` is since when this owner
+    knows the phase, ``noted_s`` when a wait was last logged.
     """
 
     id: PhaseId
@@ -104,6 +104,7 @@
     waiting_since_s: float = 0.0
     unserved_since_s: float = 0.0
     unserved_before_s: float = 0.0
+    known_since_s: float = float("-inf")
     closing: bool = False
     failed_attempt: int = 0
     plan: dict[int, str] = field(default_factory=dict)
