Keep new work out of data halls that operators have cordoned

Change: the newest records of the operators' stream name the cordoned halls; each instance follows them with the configuration, so that a new owner knows them before it decides. A cordoned hall's workers are not usable and count as no room for guarantees; what runs there goes on under its lease. A start that was decided and waits for the log or its worker is dropped where its hall has been cordoned since.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -10,6 +10,7 @@
 
 from larkhoist.codes import Code
 from larkhoist.control.catalog_keeper import CatalogKeeper
+from larkhoist.control.cordon_keeper import CordonKeeper
 from larkhoist.control.roster_keeper import RosterKeeper
 from larkhoist.control.round_records import encode_round
 from larkhoist.control.stream_follower import StreamFollower
@@ -90,6 +91,7 @@
         roster: RosterKeeper,
         roster_follower: StreamFollower,
         catalog: CatalogKeeper,
+        cordons: CordonKeeper,
         policy: FleetPolicy,
         times: SessionTimes,
         create_port: CreatePort,
@@ -106,6 +108,7 @@
         self._roster = roster
         self._roster_follower = roster_follower
         self._catalog = catalog
+        self._cordons = cordons
         self._policy = policy
         self._times = times
         self._create_port = create_port
@@ -322,6 +325,7 @@
         for message in inbox:
             self._take_message(message, now_s, now_ms)
         self._take_catalog()
+        scheduler.set_cordoned_halls(self._cordons.halls)
         if self._get_append_delay_s(now_s) > STUCK_S:
             return
         self._tidy(now_s, now_ms)
--- a/src/larkhoist/control/scheduler_node.py
+++ b/src/larkhoist/control/scheduler_node.py
@@ -6,8 +6,10 @@
 from collections.abc import Callable, Iterable
 
 from larkhoist.control.catalog_keeper import CONFIGURATION_STREAM, CatalogKeeper
+from larkhoist.control.cordon_keeper import CordonKeeper
 from larkhoist.control.fleet_owner import OWNER_GAUGES, CreatePort, FleetOwner
 from larkhoist.control.job_desk import DeskTimes, JobDesk
+from larkhoist.control.operator_records import OperatorRecords
 from larkhoist.control.roster_keeper import WORKER_STREAM, RosterKeeper
 from larkhoist.control.settings import FleetSettings
 from larkhoist.control.stream_follower import StreamFollower
@@ -20,7 +22,7 @@
 from larkhoist.jobs.catalog import Catalog
 from larkhoist.jobs.records import JOB_STREAM
 from larkhoist.ownership.log_tenure import TenureTimes, get_claim_patience_s
-from larkhoist.ports.fleet import ListedTaskWorker
+from larkhoist.ports.fleet import HallCordon, ListedTaskWorker
 from larkhoist.ports.keyed_log import KeyedLogPort, StoredRecord
 
 __all__ = ["SchedulerNode", "create_scheduler_node"]
@@ -64,6 +66,7 @@
         settings: FleetSettings,
         log: KeyedLogPort,
         decode_catalog: Callable[[StoredRecord], Catalog | None],
+        decode_cordon: Callable[[StoredRecord], HallCordon | None],
         decode_worker: Callable[[StoredRecord], ListedTaskWorker | None],
         create_port: CreatePort,
     ):
@@ -74,6 +77,7 @@
         self.book = JobBook()
         self.owner: FleetOwner | None = None
         self.catalog = CatalogKeeper(decode_catalog)
+        self._cordons = CordonKeeper(decode_cordon)
         self._decode_worker = decode_worker
         self._tenure_times = TenureTimes(
             patience_s=get_claim_patience_s(settings.cores)
@@ -81,7 +85,7 @@
         self._catalog_follower = StreamFollower(
             log,
             CONFIGURATION_STREAM,
-            self.catalog,
+            OperatorRecords(self.catalog, self._cordons),
             CONFIG_WAIT_SHARE * settings.apply_s,
         )
         self._book_follower = StreamFollower(
@@ -105,6 +109,7 @@
             self._desk_times,
         )
         self.catalog.on_change = self._wake_owner
+        self._cordons.on_change = self._wake_owner
         self._leaving = False
         self._changes: asyncio.Queue[int] = asyncio.Queue()
         self._task: asyncio.Task | None = None
@@ -179,6 +184,7 @@
             "fleet_term": float(self.term),
             "fleet_jobs": float(len(self.book.entries)),
             "fleet_config_version": float(catalog.version if catalog else 0),
+            "fleet_cordoned_halls": float(len(self._cordons.halls)),
             "fleet_config_age_s": now_s - self._catalog_follower.synced_s,
             "fleet_state_age_s": now_s - self._book_follower.synced_s,
             "fleet_append_delay_s": self._writer.get_delay_s(now_s),
@@ -221,6 +227,7 @@
             roster,
             roster_follower,
             self.catalog,
+            self._cordons,
             policy,
             SessionTimes(),
             self._create_port,
@@ -246,8 +253,11 @@
     settings: FleetSettings,
     log: KeyedLogPort,
     decode_catalog: Callable[[StoredRecord], Catalog | None],
+    decode_cordon: Callable[[StoredRecord], HallCordon | None],
     decode_worker: Callable[[StoredRecord], ListedTaskWorker | None],
     create_port: CreatePort,
 ) -> SchedulerNode:
     """Return an instance for checked settings; start it before use."""
-    return SchedulerNode(settings, log, decode_catalog, decode_worker, create_port)
+    return SchedulerNode(
+        settings, log, decode_catalog, decode_cordon, decode_worker, create_port
+    )
--- a/src/larkhoist/fleet/room.py
+++ b/src/larkhoist/fleet/room.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from larkhoist.fleet.state import FleetState
-from larkhoist.fleet.task import TaskState
+from larkhoist.fleet.task import Phase, TaskState
 from larkhoist.ports.fleet import Resources
 
 __all__ = [
@@ -47,7 +47,7 @@
 
 def get_used_share(state: FleetState) -> float:
     """Return the used share of what workers are shortest of."""
-    workers = [worker for worker in state.workers.values() if worker.listed]
+    workers = [w for w in state.workers.values() if state.is_in_service(w)]
     used = sum((worker.used for worker in workers), Resources())
     total = sum((worker.capacity for worker in workers), Resources())
     shares = [
@@ -69,12 +69,19 @@
     total = sum(
         worker.capacity.accelerators
         for worker in state.workers.values()
-        if worker.listed
+        if state.is_in_service(worker)
     )
     used = 0
     for active, phase in state.iter_phases():
         if active.priority == 0 or phase.spec.checkpoints:
             continue
-        running = sum(task.is_on_worker for task in phase.tasks)
-        used += running * phase.spec.accelerators
+        used += _count_in_service(state, phase) * phase.spec.accelerators
     return total - sum(guarantees.values()) - used
+
+
+def _count_in_service(state: FleetState, phase: Phase) -> int:
+    """Return how many tasks may run, but for those in cordoned halls."""
+    running = [task for task in phase.tasks if task.is_on_worker]
+    if not state.cordoned_halls:
+        return len(running)
+    return sum(not state.is_cordoned(state.workers[task.worker]) for task in running)
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -55,6 +55,17 @@
         self._guarantees = dict(guarantees)
         self.state.changed = True
 
+    def set_cordoned_halls(self, halls: frozenset[str]) -> None:
+        """Take over which data halls get no new work; what runs there goes on."""
+        state = self.state
+        before, state.cordoned_halls = state.cordoned_halls, halls
+        for hall in sorted(before ^ halls):
+            event = "hall-cordoned" if hall in halls else "hall-cordon-lifted"
+            workers = [w for w in state.workers.values() if w.hall == hall]
+            tasks = sum(len(worker.tasks) for worker in workers)
+            state.note(event, hall=hall, workers=len(workers), tasks=tasks)
+            state.changed = True
+
     def take_list(self, listed: Iterable[ListedTaskWorker], now_s: float) -> None:
         """Take over the platform's list of workers."""
         workers = self.state.workers
@@ -210,9 +221,14 @@
             take_worker_gone(self.state, found, WorkerReplaced(), now_s)
 
     def is_wanted(self, task: str, attempt: int) -> bool:
-        """Tell whether a start that was decided earlier is still wanted."""
+        """Tell whether a start that was decided earlier is still wanted.
+
+        A start may wait for the log or its worker for longer than a cordon gives.
+        """
         found = self.state.find_task(task, attempt)
-        return found is not None and found[1].state is TaskState.STARTING
+        if found is None or found[1].state is not TaskState.STARTING:
+            return False
+        return not self.state.is_cordoned(self.state.workers[found[1].worker])
 
     def is_busy(self, worker: str) -> bool:
         """Tell whether tasks may run on a worker, or run there unwanted."""
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -48,6 +48,7 @@
         self.doubts = HallDoubts()
         self.urgent_demand = UrgentDemand()
         self.reservations = Reservations()
+        self.cordoned_halls: frozenset[str] = frozenset()
         self.round = Round()
         self.changed = True
         self.over_by_proof: Counter[str] = Counter()
@@ -136,10 +137,19 @@
         tasks = [self._tasks[name][1] for name in self.suspects]
         return {task.worker for task in tasks if task.is_on_worker}
 
+    def is_cordoned(self, worker: FleetWorker) -> bool:
+        """Tell whether operators want a worker's data hall to get no new work."""
+        return worker.hall in self.cordoned_halls
+
+    def is_in_service(self, worker: FleetWorker) -> bool:
+        """Tell whether a worker counts as room for what waits."""
+        return worker.listed and not self.is_cordoned(worker)
+
     def is_usable(self, worker: FleetWorker, now_s: float) -> bool:
         """Tell whether new tasks may go to a worker."""
         return (
             worker.is_usable(now_s)
+            and not self.is_cordoned(worker)
             and not self.quarantine.holds(worker.name, now_s)
             and not self.doubts.covers(worker.hall, worker.heard_s)
         )
@@ -148,6 +158,7 @@
         """Tell whether only its quarantine holds a worker that is calm for long."""
         return (
             worker.is_usable(now_s)
+            and not self.is_cordoned(worker)
             and self.quarantine.has_calmed(worker.name, after_s, now_s)
             and not self.doubts.covers(worker.hall, worker.heard_s)
         )
--- a/src/larkhoist/ports/fleet.py
+++ b/src/larkhoist/ports/fleet.py
@@ -1,10 +1,10 @@
-"""State what the scheduler of staged jobs knows of the workers that are listed."""
+"""State what the scheduler of staged jobs knows of listed workers and their halls."""
 
 from dataclasses import dataclass
 
 import msgspec
 
-__all__ = ["ListedTaskWorker", "Resources"]
+__all__ = ["HallCordon", "ListedTaskWorker", "Resources"]
 
 
 UNBOUNDED = 1_000_000
@@ -58,6 +58,17 @@
         return count if count > 0 else 0
 
 
+@dataclass(frozen=True, slots=True)
+class HallCordon:
+    """Tell whether the workers of a data hall get no new work, as operators wish.
+
+    What runs there goes on.
+    """
+
+    hall: str
+    in_force: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ListedTaskWorker:
     """Describe one incarnation of a worker as the platform lists it.
--- a/tests/fleet/cases.py
+++ b/tests/fleet/cases.py
@@ -5,7 +5,7 @@
 from tests.fleet.machine import START_MS, FleetMachine
 from tests.fleet.sim_worker import LEASE_S, SimWorker, SimWorld
 
-__all__ = ["make_job", "make_machine", "make_workers"]
+__all__ = ["make_job", "make_machine", "make_workers", "put_in_halls"]
 
 ROOM = Resources(32_000, 64_000, 8)
 
@@ -27,6 +27,19 @@
     )
 
 
+def put_in_halls(machine: FleetMachine) -> list[str]:
+    """Spread a machine's workers over three halls, one after the other.
+
+    Another owner takes over, since a worker's hall is read once.
+    """
+    workers = list(machine.world.workers.values())
+    for number, worker in enumerate(workers):
+        worker.hall = f"h{number % 3}"
+    machine.step()
+    machine.replace_owner()
+    return sorted({worker.hall for worker in workers})
+
+
 def make_workers(count: int, per_rack: int = 4) -> list[SimWorker]:
     """Return workers in racks; some clocks run slow."""
     return [
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -185,6 +185,8 @@
         self.lags_s: dict[str, float] = {}
         self.log_down = False
         self.list_lag_s = 0.0
+        self.cordoned: frozenset[str] = frozenset()
+        self._read_cordoned: frozenset[str] = frozenset()
         self.late: list[_LateOrder] = []
         self.notes: list[NoteAt] = []
         self.troubled_s: dict[str, float] = {}
@@ -237,6 +239,7 @@
         policy = FleetPolicy(lease_s=self.world.lease_s, predecessor_s=PREDECESSOR_S)
         scheduler = create_fleet_scheduler(policy, self.now_s)
         scheduler.set_guarantees(self.guarantees)
+        scheduler.set_cordoned_halls(self._read_cordoned)
         scheduler.take_list(self._read_list, self.now_s)
         left_over = self.book.take_progress(self.progress.values())
         self._keep_progress(tuple(make_phase_drop(phase) for phase in left_over))
@@ -273,6 +276,7 @@
     def _step_owner(self, owner: _Owner) -> None:
         scheduler = owner.scheduler
         scheduler.take_list(self._read_list, self.now_s)
+        scheduler.set_cordoned_halls(self._read_cordoned)
         self._match_sessions(owner)
         inbox, owner.inbox = owner.inbox, []
         for message in inbox:
@@ -612,6 +616,7 @@
         self._lists.append((self.now_s, self._list_workers()))
         if self.log_down:
             return
+        self._read_cordoned = self.cordoned
         while self._lists and self._lists[0][0] <= self.now_s - self.list_lag_s:
             self._read_list = self._lists.popleft()[1]
             self._read_s = self.now_s
--- a/tests/fleet/sim_worker.py
+++ b/tests/fleet/sim_worker.py
@@ -70,6 +70,7 @@
     capacity: Resources
     rate: float = 1.0
     address: str = ""
+    hall: str = "hall"
     token: int = 0
     lease_until_ms: int = 0
     listed: bool = True
@@ -247,6 +248,7 @@
             former.capacity,
             former.rate,
             former.address,
+            former.hall,
         )
         self.workers[worker.name] = worker
         return worker
@@ -336,7 +338,7 @@
         worker.name,
         "service",
         worker.address,
-        "hall",
+        worker.hall,
         worker.rack,
         frozenset(("a", worker.rack)),
         worker.capacity,
