--- a/src/larkhoist/daemon/metrics.py
+++ b/src/larkhoist/daemon/metrics.py
@@ -57,6 +57,7 @@
             ("fleet_over_lease_over", "Attempts over: the worker's lease had ended"),
             ("fleet_over_worker_replaced", "Attempts over: another life answered"),
             ("fleet_config_version", "Version of the configuration in force here"),
+            ("fleet_cordoned_halls", "Data halls that get no new work"),
             ("fleet_config_age_s", "Seconds since the configuration was current"),
             ("fleet_state_age_s", "Seconds since the state of jobs was current"),
             ("fleet_append_delay_s", "Seconds that the oldest record has waited"),
