Leave the very first claim of the tenure to stronger instances

Cause: with no record on the stream any ready instance claimed at once.

Change: an instance that has less than a core waits a watch and its patience before the first claim, as it already does after a silence or a release.

--- a/src/larkhoist/ownership/log_tenure.py
+++ b/src/larkhoist/ownership/log_tenure.py
@@ -54,6 +54,15 @@
     predecessor_s: float = 8.0
     patience_s: float = 0.0
 
+    @property
+    def first_patience_s(self) -> float:
+        """Return how long the first claim of all is left to stronger instances.
+
+        These start sooner, and look again at the next watch, when the operators'
+        configuration may have come.
+        """
+        return self.patience_s and self.watch_s + self.patience_s
+
 
 class TenureStep(Enum):
     """Name what an instance does next about the tenure."""
@@ -102,9 +111,11 @@
         return TenureStep.RENEW
     if not eligible:
         return TenureStep.WATCH
-    if view.newest is None or view.inherited:
+    if view.inherited:
         return TenureStep.CLAIM
-    if view.newest.released:
+    if view.newest is None:
+        is_due = now_s - view.watched_s >= times.first_patience_s
+    elif view.newest.released:
         is_due = now_s - view.changed_s >= times.patience_s
     else:
         quiet_since_s = max(view.changed_s, view.watched_s)
