--- a/src/larkhoist/control/stream_follower.py
+++ b/src/larkhoist/control/stream_follower.py
@@ -126,11 +126,14 @@
     async def _run(self) -> None:
         backoff_s = FIRST_BACKOFF_S
         while True:
+            began_s = asyncio.get_running_loop().time()
             if await self._step():
                 backoff_s = FIRST_BACKOFF_S
                 await self._pause()
             else:
-                await asyncio.sleep(backoff_s)
+                # A call that waited in vain has spread out the calls already.
+                took_s = asyncio.get_running_loop().time() - began_s
+                await asyncio.sleep(max(0.0, backoff_s - took_s))
                 backoff_s = min(backoff_s * 2, LONGEST_BACKOFF_S)
 
     async def _pause(self) -> None:
--- a/src/larkhoist/control/stream_writer.py
+++ b/src/larkhoist/control/stream_writer.py
@@ -160,10 +160,13 @@
             if not self._under_way and not self._take_batch():
                 self._added.clear()
                 continue
+            began_s = asyncio.get_running_loop().time()
             if await self._append_batch():
                 backoff_s = FIRST_BACKOFF_S
             else:
-                await asyncio.sleep(backoff_s)
+                # A call that waited in vain has spread out the calls already.
+                took_s = asyncio.get_running_loop().time() - began_s
+                await asyncio.sleep(max(0.0, backoff_s - took_s))
                 backoff_s = min(backoff_s * 2, LONGEST_BACKOFF_S)
 
     def _take_batch(self) -> bool:
