--- a/tests/fleet/test_progress.py
+++ b/tests/fleet/test_progress.py
@@ -110,7 +110,7 @@
 @pytest.mark.parametrize("seed", [667, 1316, 1458])
 def test_nothing_stands_still_on_a_last_attempt(seed):
     # One more failure would end the job, and only workers in quarantine have room: it
-    # waits until they have failed nothing for 6 s.
+    # would rather wait until they have failed nothing for 6 s.
     assert play(seed, 0.0).found == {}
 
 
