Have an owner that leaves go on until another instance has claimed

Cause: a leaving owner released the tenure and closed at once. Others look at the stream once in 1.1 s while it is renewed, so that 0.45 s passed until the next claim, and a weak instance made it: its patience of 0.375 s was over before a stronger one had looked.

Change: the leaving owner offers the tenure and decides on until it sees a claim, for 2 s at most; it is shut out as any former owner. Weak instances leave an offer to stronger ones for as long as those need to look. The test of their patience asks for the longer time now: the shorter one is what let a weak instance win.

An unused constant goes.

--- a/src/larkhoist/control/scheduler_node.py
+++ b/src/larkhoist/control/scheduler_node.py
@@ -39,7 +39,9 @@
 ROSTER_PAUSE_S = 0.5
 """A leaving worker must be known well within the time it takes to leave."""
 READY_AGE_S = 2.0
-OWNER_CHANGE_S = 0.05
+OFFER_S = 2.0
+"""How long an owner that leaves goes on until another claims. A weak instance claims
+1.5 s after the offer and looks each 0.4 s; callers get 2.2 s of notice anyway."""
 
 
 class _BookSink:
@@ -135,8 +137,8 @@
         self._leaving = True
         log_event(_logger, "leaving", term=self.term)
         if self.owner is not None:
-            await self.owner.close()
-            self.owner = None
+            await self._tenure.offer(OFFER_S)
+        await self._close_owner()
         await self._tenure.close()
 
     async def close(self) -> None:
@@ -200,13 +202,17 @@
     async def _run(self) -> None:
         while True:
             term = await self._changes.get()
-            if self.owner is not None:
-                await self.owner.close()
-                self.owner = None
-                self._book_follower.pause_s = BOOK_PAUSE_S
+            await self._close_owner()
             if term and term == self._tenure.term and not self._leaving:
                 await self._begin_owner(term)
 
+    async def _close_owner(self) -> None:
+        """Close the owner, if any; a loss of the tenure may come while one leaves."""
+        owner, self.owner = self.owner, None
+        if owner is not None:
+            await owner.close()
+            self._book_follower.pause_s = BOOK_PAUSE_S
+
     async def _begin_owner(self, term: int) -> None:
         policy = FleetPolicy(
             lease_s=self._settings.lease_s,
--- a/src/larkhoist/control/tenure_keeper.py
+++ b/src/larkhoist/control/tenure_keeper.py
@@ -32,6 +32,8 @@
 """Timers fire a little late; a look just before the time would have to be repeated."""
 INHERIT_S = 0.05
 """How often a restarted holder looks whether it may claim already."""
+OFFER_WATCH_S = 0.05
+"""How often an instance that has offered the tenure looks for a claim."""
 RETRY_RENEWAL_S = 0.1
 """Short, since others claim once they have seen no renewal for a second."""
 
@@ -65,19 +67,56 @@
         """Begin to watch the tenure."""
         self._task = asyncio.create_task(self._run())
 
-    async def close(self) -> None:
-        """Give the tenure up, so that another instance need not wait."""
+    async def offer(self, longest_s: float) -> None:
+        """Offer the tenure, and hold it until another instance has claimed it.
+
+        What the holder decides goes on: with a release first, nothing started for 0.84
+        s until another had claimed it and taken over, so 0.33 s (one restart of an
+        owner among 36 instances, played each way). Returns after ``longest_s`` at the
+        latest.
+        """
         await cancel_tasks([self._task])
         if not self.term:
             return
-        term, self.term = self.term, 0
-        record = TenureRecord(self._incarnation, term, released=True)
+        began_s = asyncio.get_running_loop().time()
+        try:
+            async with asyncio.timeout(longest_s):
+                await self._release()
+                while self.term:
+                    await asyncio.sleep(OFFER_WATCH_S)
+                    await self._watch()
+        except TimeoutError:
+            pass
+        took_s = asyncio.get_running_loop().time() - began_s
+        log_event(
+            _logger,
+            "tenure-offered",
+            term=self.term,
+            claimed=not self.term,
+            took_s=round(took_s, 3),
+        )
+
+    async def close(self) -> None:
+        """Give the tenure up, so that another instance need not wait."""
+        await cancel_tasks([self._task])
+        newest = self._view.newest
+        if self.term and not (newest is not None and newest.released):
+            await self._release()
+        self.term = 0
+
+    async def _release(self) -> None:
+        record = TenureRecord(self._incarnation, self.term, released=True)
+        asked_s = asyncio.get_running_loop().time()
+        result = "no answer"
         try:
             async with asyncio.timeout(RELEASE_TIMEOUT_S):
                 result = await self._append(record)
         except TimeoutError:
-            result = "no answer"
-        log_event(_logger, "tenure-released", term=term, result=result)
+            pass
+        match result:
+            case Success(end):
+                self._view.take(end, record, asked_s)
+        log_event(_logger, "tenure-released", term=self.term, result=result)
 
     def give_up(self, reason: str) -> None:
         """Stop holding at once, without a record: a newer holder was met."""
--- a/src/larkhoist/ownership/log_tenure.py
+++ b/src/larkhoist/ownership/log_tenure.py
@@ -63,6 +63,15 @@
         """
         return self.patience_s and self.watch_s + self.patience_s
 
+    @property
+    def offer_patience_s(self) -> float:
+        """Return how long a tenure that is offered is left to stronger instances.
+
+        While a holder renews, these look once in ``silence_s``; a leaving holder goes
+        on meanwhile.
+        """
+        return self.patience_s and self.silence_s + self.patience_s
+
 
 class TenureStep(Enum):
     """Name what an instance does next about the tenure."""
@@ -116,7 +125,7 @@
     if view.newest is None:
         is_due = now_s - view.watched_s >= times.first_patience_s
     elif view.newest.released:
-        is_due = now_s - view.changed_s >= times.patience_s
+        is_due = now_s - view.changed_s >= times.offer_patience_s
     else:
         quiet_since_s = max(view.changed_s, view.watched_s)
         is_due = now_s - quiet_since_s > times.silence_s + times.patience_s
