Give the back-off of repeated calls a module of its own

Change: Backoff serves both; an import stands on one line, and the count of a service's room says that it takes cordoned halls in, and why. Behaviour is as it was.

--- a/src/larkhoist/control/stream_follower.py
+++ b/src/larkhoist/control/stream_follower.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Success
 
 from larkhoist.codes import Code
+from larkhoist.control.backoff import Backoff
 from larkhoist.daemon.logs import log_event
 from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.ports.keyed_log import KeyedLogPort, StoredRecord, StreamPage
@@ -124,17 +125,14 @@
                 return True
 
     async def _run(self) -> None:
-        backoff_s = FIRST_BACKOFF_S
+        backoff = Backoff(FIRST_BACKOFF_S, LONGEST_BACKOFF_S)
         while True:
-            began_s = asyncio.get_running_loop().time()
+            called_s = asyncio.get_running_loop().time()
             if await self._step():
-                backoff_s = FIRST_BACKOFF_S
+                backoff.reset()
                 await self._pause()
             else:
-                # A call that waited in vain has spread out the calls already.
-                took_s = asyncio.get_running_loop().time() - began_s
-                await asyncio.sleep(max(0.0, backoff_s - took_s))
-                backoff_s = min(backoff_s * 2, LONGEST_BACKOFF_S)
+                await backoff.wait(called_s)
 
     async def _pause(self) -> None:
         """Wait until the last read, a caller's check included, is old enough."""
--- a/src/larkhoist/control/stream_writer.py
+++ b/src/larkhoist/control/stream_writer.py
@@ -9,6 +9,7 @@
 
 from larkhoist.codes import Code
 from larkhoist.control.answer_times import append_in_time, create_answer_times
+from larkhoist.control.backoff import Backoff
 from larkhoist.daemon.logs import log_event
 from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.ports.keyed_log import KeyedLogPort, KeyedRecord, WrittenBy
@@ -154,20 +155,17 @@
         return Problem(Code.APPEND_UNKNOWN, retry_after_s=RETRY_AFTER_S)
 
     async def _run(self) -> None:
-        backoff_s = FIRST_BACKOFF_S
+        backoff = Backoff(FIRST_BACKOFF_S, LONGEST_BACKOFF_S)
         while not self.fenced:
             await self._added.wait()
             if not self._under_way and not self._take_batch():
                 self._added.clear()
                 continue
-            began_s = asyncio.get_running_loop().time()
+            called_s = asyncio.get_running_loop().time()
             if await self._append_batch():
-                backoff_s = FIRST_BACKOFF_S
+                backoff.reset()
             else:
-                # A call that waited in vain has spread out the calls already.
-                took_s = asyncio.get_running_loop().time() - began_s
-                await asyncio.sleep(max(0.0, backoff_s - took_s))
-                backoff_s = min(backoff_s * 2, LONGEST_BACKOFF_S)
+                await backoff.wait(called_s)
 
     def _take_batch(self) -> bool:
         size = 0
--- a/src/larkhoist/fleet/eligibility.py
+++ b/src/larkhoist/fleet/eligibility.py
@@ -1,11 +1,6 @@
 """Tell which workers a phase may go to in one pass, and which it leaves out."""
 
-from larkhoist.fleet.leeway import (
-    Leeway,
-    count_together,
-    get_calm_s,
-    make_leeway,
-)
+from larkhoist.fleet.leeway import Leeway, count_together, get_calm_s, make_leeway
 from larkhoist.fleet.placing import WorkerGroups, count_capacity, list_eligible
 from larkhoist.fleet.ranking import Tier
 from larkhoist.fleet.room import ServiceRoom, count_service_rooms
--- a/src/larkhoist/fleet/room.py
+++ b/src/larkhoist/fleet/room.py
@@ -25,7 +25,10 @@
 
 
 def count_service_rooms(state: FleetState) -> dict[str, ServiceRoom]:
-    """Return the room by service."""
+    """Return the room by service, that of cordoned halls included.
+
+    The half that has to be idle before work may go anywhere is reached sooner so.
+    """
     rooms: dict[str, ServiceRoom] = {}
     for worker in state.workers.values():
         if worker.listed:
