--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -92,6 +92,7 @@
         self.processes: dict[str, Process] = {}
         self.addresses: dict[str, str] = {}
         self.listed: list[dict] = []
+        self._taken: set[int] = set()
         self.session: aiohttp.ClientSession | None = None
         self._folder = TemporaryDirectory(prefix="larkhoist-")
         self._settings: dict[str, Path] = {}
@@ -212,6 +213,12 @@
         self.processes[name] = process
         return process
 
+    def take_ports(self, count: int) -> list[int]:
+        """Return free ports that no other instance of the cluster was given."""
+        ports = find_free_ports(count, self._taken)
+        self._taken.update(ports)
+        return ports
+
     async def _start_hall(self, hall: str) -> None:
         workers = self.get_workers(hall)
         if workers:
@@ -220,7 +227,7 @@
         if runners:
             await self._start_runners(hall, runners)
         for name in self.get_instances(hall):
-            http_port, peer_port = find_free_ports(2)
+            http_port, peer_port = self.take_ports(2)
             self.addresses[name] = f"127.0.0.1:{http_port}"
             self._write_settings(name, hall, http_port, peer_port)
             self.listed.append(
@@ -421,10 +428,13 @@
     return time.monotonic() - began_s
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free now and that no outgoing connection is given."""
+def find_free_ports(count: int, taken: set[int]) -> list[int]:
+    """Return ports that are free now and that no outgoing connection is given.
+
+    What is ``taken`` may still seem free: who was given it may listen later.
+    """
     candidates = random.sample(INSTANCE_PORTS, len(INSTANCE_PORTS))
-    free = (port for port in candidates if _is_free(port))
+    free = (port for port in candidates if port not in taken and _is_free(port))
     return list(itertools.islice(free, count))
 
 
--- a/tests/control/test_tenure_keeper.py
+++ b/tests/control/test_tenure_keeper.py
@@ -31,6 +31,8 @@
     ("view", "term", "eligible", "now_s", "step"),
     [
         (TenureView(watched_s=0.0), 0, True, 0.0, TenureStep.CLAIM),
+        # A stream that was never read may hold a claim.
+        (TenureView(), 0, True, 0.0, TenureStep.WATCH),
         (TenureView(), 0, False, 0.0, TenureStep.WATCH),
         (TenureView(), 4, False, 0.0, TenureStep.RENEW),
         (make_view(10.0), 0, True, 11.0, TenureStep.WATCH),
