Log worker restarts and ignored task ends

A worker may restart under the same name, after which it numbers its ends from 1 again. Neither a restart nor an end that was listed but ignored because of its number was logged, and nothing reported how many workers were silent.

Worker entries and reports now carry the start time of the worker (`born`). The events `worker-restarted` and `task-end-ignored` are logged, the gauge `fleet_silent_workers` is added, and `stands` reports the room on silent workers. Scheduling decisions are unchanged.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -71,6 +71,7 @@
     "fleet_running",
     "fleet_waiting",
     "fleet_workers",
+    "fleet_silent_workers",
     "fleet_unserved_steps",
     "fleet_longest_unserved_s",
     "fleet_held_up_s",
@@ -203,11 +204,16 @@
                 sum(task.state is TaskState.WAITING for task in tasks)
             ),
             "fleet_workers": float(len(self.scheduler.state.workers)),
+            "fleet_silent_workers": float(self._count_silent_workers()),
             "fleet_held_up_s": self._get_append_delay_s(_get_times()[0]),
             **self._measure_unserved(),
             **self._measure_over(),
         }
 
+    def _count_silent_workers(self) -> int:
+        workers = self.scheduler.state.workers.values()
+        return sum(worker.listed and worker.silent for worker in workers)
+
     def _measure_unserved(self) -> dict[str, float]:
         """Return how many steps no task of which starts for long, and the longest."""
         now_s, _ = _get_times()
--- a/src/larkhoist/daemon/metrics.py
+++ b/src/larkhoist/daemon/metrics.py
@@ -49,6 +49,7 @@
             ("fleet_running", "Tasks that may run, as the owner knows"),
             ("fleet_waiting", "Tasks that wait, as the owner knows"),
             ("fleet_workers", "Workers known to the owner"),
+            ("fleet_silent_workers", "Listed workers whose last call had no answer"),
             ("fleet_unserved_steps", "Steps that wait, no task started for 3 s"),
             ("fleet_longest_unserved_s", "Longest such time of a step, in seconds"),
             ("fleet_over_end_listed", "Attempts over: their worker listed the end"),
--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -35,6 +35,7 @@
     now_ms: int,
 ) -> None:
     """Take a worker's report that was asked for at ``asked_s``."""
+    _note_restart(state, worker, report, asked_s, now_s)
     # By when the answer is taken: former owners may have renewed after it was asked.
     state.end_inherited_lease(worker, now_s)
     present = {(task.task, task.attempt) for task in report.running}
@@ -43,6 +44,8 @@
         if ended.number > worker.seen:
             worker.seen = ended.number
             _take_end(state, worker, ended, now_s, now_ms)
+        elif state.find_task(ended.task, ended.attempt) is not None:
+            _note_ignored_end(state, worker, ended)
     state.round.seen[worker.name] = worker.seen
     worker.strays = {}
     for running in report.running:
@@ -155,6 +158,44 @@
         state.release(phase, task, proof, now_s)
 
 
+def _note_restart(
+    state: FleetState,
+    worker: FleetWorker,
+    report: WorkerReport,
+    asked_s: float,
+    now_s: float,
+) -> None:
+    """Record the start time of a worker and log a restart since its last report."""
+    if worker.started_ms and report.started_ms not in (0, worker.started_ms):
+        state.note(
+            "worker-restarted",
+            worker=worker.name,
+            born_ms=report.started_ms,
+            former_born_ms=worker.started_ms,
+            tasks=len(worker.tasks),
+            seen=worker.seen,
+            report_age_s=round(now_s - asked_s, 3),
+        )
+    worker.started_ms = report.started_ms or worker.started_ms
+
+
+def _note_ignored_end(state: FleetState, worker: FleetWorker, ended: EndedTask) -> None:
+    """Log the end of a current attempt that was ignored because of its number.
+
+    A restarted worker numbers its ends from 1 again, so they can be at or below
+    ``seen``.
+    """
+    state.note(
+        "task-end-ignored",
+        task=ended.task,
+        attempt=ended.attempt,
+        worker=worker.name,
+        how=ended.kind.value,
+        number=ended.number,
+        seen=worker.seen,
+    )
+
+
 def _take_end(
     state: FleetState, worker: FleetWorker, ended: EndedTask, now_s: float, now_ms: int
 ) -> None:
--- a/src/larkhoist/fleet/wait_notes.py
+++ b/src/larkhoist/fleet/wait_notes.py
@@ -79,7 +79,8 @@
     def _count_room(self, phase: Phase) -> dict[str, int]:
         """Return for how many tasks there is room now, whatever is preferred.
 
-        ``held_out`` is the room on workers that answer and are kept from new work.
+        ``held_out`` is the room on responsive workers that get no new work, ``silent``
+        the room on workers whose last call was not answered.
         """
         service = self._state.jobs[phase.id.job_id].job.terms.service
         key = (service, phase.spec.label, phase.need)
@@ -88,11 +89,13 @@
         return self._rooms[key]
 
     def _count_anew(self, phase: Phase, service: str) -> dict[str, int]:
-        room_for = held_out = 0
+        room_for = held_out = silent = 0
         for worker in list_eligible(self._state.workers.values(), service, phase.spec):
             fitting = worker.free.count_fitting(phase.need)
             if self._state.is_usable(worker, self._now_s):
                 room_for += fitting
             elif worker.listed and not worker.leaving and not worker.silent:
                 held_out += fitting
-        return {"room_for": room_for, "held_out": held_out}
+            elif worker.listed and not worker.leaving:
+                silent += fitting
+        return {"room_for": room_for, "held_out": held_out, "silent": silent}
--- a/src/larkhoist/fleet/worker.py
+++ b/src/larkhoist/fleet/worker.py
@@ -18,7 +18,8 @@
     last call that was answered, ``silent_s`` when it fell silent.
     ``unlisted_s`` is since when its entry is off the list, ``refused_pause_s`` how long
     the last refusal in a row has paused it; ``strays`` holds the attempts by task that
-    its last report named and nobody wants.
+    its last report named and nobody wants. ``started_ms`` is its last reported start
+    time in Unix milliseconds, 0 if unknown.
     """
 
     name: str
@@ -44,6 +45,7 @@
     seen: int = 0
     strays: dict[str, int] = field(default_factory=dict)
     strays_stopped_s: float = float("-inf")
+    started_ms: int = 0
 
     free: Resources = field(init=False)
 
--- a/src/larkhoist/ports/fleet.py
+++ b/src/larkhoist/ports/fleet.py
@@ -74,7 +74,8 @@
     """Describe one incarnation of a worker as the platform lists it.
 
     ``remaining_s`` tells how long a leaving worker stays at least, in seconds.
-    ``clock_ms`` is its steady clock when it wrote the entry.
+    ``clock_ms`` is its steady clock when it wrote the entry. ``started_ms`` is its
+    start time in Unix milliseconds, 0 if unknown.
     """
 
     name: str
@@ -87,3 +88,4 @@
     leaving: bool
     remaining_s: float | None
     clock_ms: int
+    started_ms: int = 0
--- a/src/larkhoist/ports/task_worker.py
+++ b/src/larkhoist/ports/task_worker.py
@@ -106,13 +106,15 @@
     """Hold what a worker says of itself; ``clock_ms`` is its steady clock.
 
     Unless ``whole``, there are more ends than one report lists: what it doesn't name
-    may have ended.
+    may have ended. ``started_ms`` is the start time of the worker in Unix milliseconds,
+    0 if unknown.
     """
 
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
     whole: bool = True
+    started_ms: int = 0
 
 
 class TaskWorkerPort(Protocol):
