Add failing tests of restarted workers and of silent idle ones

Simulated workers may now start again under their names, with numbers of ends and clocks that begin anew.

--- a/tests/control/test_worker_session.py
+++ b/tests/control/test_worker_session.py
@@ -16,7 +16,7 @@
     WorkerSession,
 )
 from larkhoist.daemon.clock import read_steady_s
-from larkhoist.fleet.effects import StartTask
+from larkhoist.fleet.effects import StartTask, StopTask
 from larkhoist.fleet.policy import FleetPolicy
 from larkhoist.ports.task_worker import WorkerReport
 from larkhoist.problem import Problem
@@ -209,3 +209,50 @@
     assert [call.wait_ms for call in worker.calls[:2]] == [0, 0]
     assert worker.calls[0].lease_until_ms is None
     assert worker.calls[2].lease_until_ms is not None
+
+
+class SilentWhileIdle:
+    """Answer reports but for the second one, and no stop."""
+
+    def __init__(self):
+        self.reports = 0
+
+    async def renew(self, call):
+        self.reports += 1
+        await asyncio.sleep(0.005)
+        if self.reports == 2:
+            return Failure(Problem(Code.WORKER_SILENT))
+        return Success(WorkerReport(0, (), ()))
+
+    async def stop_task(self, order):
+        self.reports += 1
+        return Failure(Problem(Code.WORKER_SILENT))
+
+
+@pytest.mark.parametrize(
+    "call",
+    [
+        lambda session: session.probe(),
+        lambda session: session.order_stop(StopTask("w0", ORDER.task, ORDER.attempt)),
+    ],
+    ids=["probe", "stop"],
+)
+async def test_an_idle_worker_that_missed_a_call_is_asked_until_it_answers(call):
+    # It counted as silent and got no work for as long as the owner held.
+    told = []
+    worker = SilentWhileIdle()
+    session = make_session(worker, tell=told.append)
+    session.set_busy(False)
+    await session.start()
+    async with asyncio.timeout(10):
+        while not told:
+            await asyncio.sleep(0.005)
+        call(session)
+        while len(told) < 2:
+            await asyncio.sleep(0.005)
+        assert told[1] != told[0]
+        while len(told) < 3:
+            await asyncio.sleep(0.005)
+    await session.close()
+    assert isinstance(told[2], ReportAnswer)
+    assert isinstance(told[2].result, Success)
--- a/tests/fleet/checks.py
+++ b/tests/fleet/checks.py
@@ -135,7 +135,7 @@
         # A gang fails as a whole, whichever member does.
         unit = phase if phase in machine.world.gangs else run.task
         failed[unit] += run.kind is EndKind.FAILED
-        lost[run.task] += _is_lost(machine, run)
+        lost[run.task] += _is_lost(run)
         if failed[unit] >= job.terms.max_attempts:
             causes.add(job.job_id)
         if lost[run.task] >= CRASHES_TO_END - 1:
@@ -145,13 +145,12 @@
             assert job_id in causes, f"{job_id} was given up without a cause"
 
 
-def _is_lost(machine: FleetMachine, run: Run) -> bool:
+def _is_lost(run: Run) -> bool:
     """Tell whether a worker crashed under a run, or with its end that nobody heard.
 
     The owner can't tell the second from the first.
     """
-    unheard = not run.noted and machine.world.workers[run.worker].dead
-    return run.lost or unheard
+    return run.lost or not run.noted and run.host.dead
 
 
 def _check_order(machine, task: str, runs: list[Run], by_task) -> None:
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -40,13 +40,12 @@
 from larkhoist.ports.keyed_log import KeyedRecord, StoredRecord
 from larkhoist.ports.task_worker import LeaseCall, StartOrder, StopOrder
 from larkhoist.problem import Problem
-from tests.fleet.sim_worker import SimWorker, SimWorld, make_listed
+from tests.fleet.sim_worker import START_MS, SimWorker, SimWorld, make_listed
 
 __all__ = ["LATE_S", "FleetMachine"]
 
 STEP_S = 0.1
 ASK_S = 0.5
-START_MS = 1_700_000_000_000
 CALL_TIMEOUT_S = 0.7
 """After this time a call counts as without an answer, as in the worker's client."""
 SILENT_PAUSE_S = 0.4
@@ -578,10 +577,11 @@
             late = _LateOrder(due_s, session.worker, order, lag_s > 0)
             self.late.append(late)
             return None
-        worker = self.world.workers[session.worker]
-        if worker.dead:
-            successor = self.world.find_at(session.address)
-            return successor and Failure(Problem(Code.WORKER_REPLACED))
+        worker = self.world.find_at(session.address)
+        if worker is None:
+            return None
+        if worker.name != session.worker:
+            return Failure(Problem(Code.WORKER_REPLACED))
         return self._carry_out_order(worker, order, late=False)
 
     def _carry_out_order(self, worker: SimWorker, order: Order, *, late: bool):
--- a/tests/fleet/sim_worker.py
+++ b/tests/fleet/sim_worker.py
@@ -3,7 +3,8 @@
 A worker says that it leaves or does not, serves on for a while and ends with all it
 runs. Its entry on the platform's list is apart from its life: it may go while the
 worker still runs, and come back. A later life has a name of its own and may have the
-address of one that has ended.
+address of one that has ended, or has the name and address of the one before and knows
+nothing of it.
 """
 
 from collections.abc import Callable
@@ -24,8 +25,9 @@
 )
 from larkhoist.problem import Problem
 
-__all__ = ["Run", "SimWorker", "SimWorld", "make_listed"]
+__all__ = ["START_MS", "Run", "SimWorker", "SimWorld", "make_listed"]
 
+START_MS = 1_700_000_000_000
 GANG_WAIT_S = 3.0
 STOP_S = 0.5
 LEASE_S = 10.0
@@ -39,7 +41,8 @@
 
     ``noted`` tells whether its end was acknowledged before the lease lapsed: only
     then must the system know of it. ``late`` tells that the start was carried out
-    late, ``lost`` that the worker crashed while it ran. ``term`` is the owner's.
+    late, ``lost`` that the worker crashed while it ran. ``term`` is the owner's,
+    ``host`` the life of the worker that it began in.
     """
 
     task: str
@@ -55,6 +58,7 @@
     term: int = 0
     stopping_s: float | None = None
     works_since_s: float | None = None
+    host: "SimWorker | None" = field(default=None, repr=False)
 
 
 @dataclass(slots=True)
@@ -63,6 +67,7 @@
 
     ``listed`` tells whether its entry is on the platform's list, ``leaving`` whether
     it has said that it leaves, and ``stays_until_s`` how long it serves on at least.
+    Its clock counts from ``started_s``.
     """
 
     name: str
@@ -86,13 +91,19 @@
     floors: dict[str, int] = field(default_factory=dict)
     number: int = 0
     lapsed_s: float = float("-inf")
+    started_s: float = 0.0
 
     def __post_init__(self):
         self.address = self.address or self.name
 
     def get_clock_ms(self, now_s: float) -> int:
         """Return the worker's own clock."""
-        return int(now_s * self.rate * 1000)
+        return int((now_s - self.started_s) * self.rate * 1000)
+
+    @property
+    def started_ms(self) -> int:
+        """Return the time of day at which the worker started."""
+        return START_MS + int(self.started_s * 1000)
 
 
 class SimWorld:
@@ -112,7 +123,7 @@
         self.work_s_of = work_s_of
         self._fails = fails
         self.gangs: dict[str, int] = {}
-        self._ended: dict[tuple[str, int], Run] = {}
+        self._ended: dict[tuple[str, int, int], Run] = {}
 
     def start(
         self,
@@ -144,6 +155,7 @@
                 self._need_of(order.task),
                 late=late,
                 term=order.token,
+                host=worker,
             )
             worker.runs[key] = run
             self.history.append(run)
@@ -200,12 +212,15 @@
         running = tuple(
             RunningTask(run.task, run.attempt, "", 100) for run in worker.runs.values()
         )
-        return Success(WorkerReport(clock_ms, running, tuple(worker.ends)))
+        ended = tuple(worker.ends)
+        return Success(
+            WorkerReport(clock_ms, running, ended, started_ms=worker.started_ms)
+        )
 
     def _acknowledge(self, worker: SimWorker, number: int) -> None:
         for ended in worker.ends:
             if ended.number <= number:
-                run = self._ended[(worker.name, ended.number)]
+                run = self._ended[(worker.name, worker.started_ms, ended.number)]
                 run.noted = worker.lapsed_s < run.ended_s
         worker.ends = [e for e in worker.ends if e.number > number]
 
@@ -253,6 +268,21 @@
         self.workers[worker.name] = worker
         return worker
 
+    def restart(self, former: SimWorker, now_s: float) -> SimWorker:
+        """Have a worker that has ended start again under its name and address."""
+        assert former.dead, f"{former.name} is still up"
+        worker = SimWorker(
+            former.name,
+            former.rack,
+            former.capacity,
+            former.rate,
+            former.address,
+            former.hall,
+            started_s=now_s,
+        )
+        self.workers[worker.name] = worker
+        return worker
+
     def find_at(self, address: str) -> SimWorker | None:
         """Return the worker that is up at an address."""
         for worker in self.workers.values():
@@ -328,7 +358,7 @@
         worker.number += 1
         floor = worker.floors.get(run.task, 0)
         worker.floors[run.task] = max(floor, run.attempt)
-        self._ended[(worker.name, worker.number)] = run
+        self._ended[(worker.name, worker.started_ms, worker.number)] = run
         worker.ends.append(EndedTask(worker.number, run.task, run.attempt, kind, ""))
 
 
@@ -345,4 +375,5 @@
         worker.leaving,
         max(0.0, worker.stays_until_s - now_s) if worker.leaving else None,
         worker.get_clock_ms(now_s),
+        worker.started_ms,
     )
--- a/tests/fleet/test_worker_restarts.py
+++ b/tests/fleet/test_worker_restarts.py
@@ -1,9 +1,12 @@
 """Check what the owner logs when a worker restarts under the same name."""
 
+from msgspec.structs import replace
+
 from larkhoist.fleet.effects import Note
 from larkhoist.jobs.spec import StepSpec
 from larkhoist.ports.task_worker import EndedTask, EndKind, WorkerReport
 from tests.fleet.cases import make_job, make_machine
+from tests.fleet.checks import check_history, check_outcomes
 from tests.fleet.machine import FleetMachine
 from tests.fleet.sim_worker import Run
 
@@ -46,3 +49,45 @@
     notes = take_report(machine, run.worker, WorkerReport(0, (), (ended,)))
     (note,) = [note for note in notes if note.event == "task-end-ignored"]
     assert (note.fields["number"], note.fields["seen"]) == (3, 5)
+
+
+def restart(machine: FleetMachine, name: str, dark_s: float = 0.6) -> None:
+    """Have a worker crash and start again under its name."""
+    worker = machine.world.workers[name]
+    machine.world.kill(worker, machine.now_s)
+    machine.run(dark_s)
+    machine.world.restart(worker, machine.now_s)
+
+
+def test_ends_on_a_restarted_worker_are_taken_once():
+    # Ends counted from 1 again were ignored and acknowledged: their tasks ran twice.
+    jobs = tuple(make_job(n, replace(ONE, count=2)) for n in (1, 2))
+    machine = make_machine(1, jobs)
+    machine.submit(jobs[0])
+    machine.run(4.0)
+    restart(machine, "w0")
+    machine.submit(jobs[1])
+    machine.run(20.0)
+    check_history(machine)
+    check_outcomes(machine)
+    assert len(machine.world.history) == 4
+
+
+def test_a_gang_starts_on_workers_that_were_silent_while_idle():
+    # Idle workers that missed a call of a doubtful hall were never asked again.
+    whole = replace(ONE, accelerators=8)
+    jobs = (
+        make_job(1, replace(whole, count=3)),
+        make_job(2, replace(whole, count=6, gang=True)),
+    )
+    machine = make_machine(6, jobs, work_s=3.0)
+    machine.submit(jobs[0])
+    machine.run(1.0)
+    machine.cut = {worker.address for worker in machine.world.workers.values()}
+    machine.run(1.5)
+    machine.cut = set()
+    machine.run(5.0)
+    machine.submit(jobs[1])
+    machine.run(3.0)
+    gang = [run for run in machine.world.history if run.task.startswith(jobs[1].job_id)]
+    assert len(gang) == 6
