Distinguish a worker's incarnations by their start times

Callers saw tasks run again that had ended as done. A worker that crashes may restart under the same name, and then numbers its ends from 1 again. The owner stored the number of the last end by worker name. Ends of the later incarnation were ignored as known and acknowledged by the old number, so that the worker dropped them. The next report, which listed neither run nor end, counted as proof that the task had to run again.

Worker entries and reports now carry the start time of the worker. A session that learns of a later start discards the clock and the end numbers of the former incarnation and ignores delayed answers from it. It sends no report requests and no starts until its fencing token has increased; stops are still sent. The token is the offset of the owner's newest renewal, which stays below the term of any successor. With it the worker refuses all calls sent earlier, so that a report requested with it shows for certain which attempts are over (`worker_restarted`). Starts in flight are stopped. Ends are acknowledged together with the start time that they belong to, and not after a call without an answer.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -30,6 +30,7 @@
 from larkhoist.daemon.logs import log_event
 from larkhoist.daemon.tasks import cancel_tasks
 from larkhoist.fleet.effects import Round, StartTask
+from larkhoist.fleet.incarnation import Incarnation
 from larkhoist.fleet.policy import FleetPolicy
 from larkhoist.fleet.proofs import PROOF_NAMES
 from larkhoist.fleet.scheduler import FleetScheduler, create_fleet_scheduler
@@ -401,20 +402,30 @@
             self.scheduler.set_guarantees(catalog.get_guarantees())
 
     def _match_sessions(self) -> None:
-        for name, heard in self._roster.workers.items():
-            clock = WorkerClock(heard.entry.clock_ms, heard.heard_s)
-            self._open_session(name, heard.entry.address, clock)
+        for heard in self._roster.workers.values():
+            entry = heard.entry
+            incarnation = Incarnation(entry.started_ms, heard.heard_s)
+            clock = WorkerClock(entry.clock_ms, heard.heard_s)
+            self._open_session(entry.name, entry.address, incarnation, clock)
         for worker in self.scheduler.list_unlisted():
-            self._open_session(worker.name, worker.address, WorkerClock())
-
-    def _open_session(self, name: str, address: str, clock: WorkerClock) -> None:
-        if name in self._sessions:
+            incarnation = Incarnation()
+            clock = WorkerClock()
+            self._open_session(worker.name, worker.address, incarnation, clock)
+
+    def _open_session(
+        self, name: str, address: str, incarnation: Incarnation, clock: WorkerClock
+    ) -> None:
+        """Open a session, or pass the listed start time to the existing one."""
+        session = self._sessions.get(name)
+        if session is not None:
+            session.update_incarnation(incarnation.started_ms)
             return
         session = WorkerSession(
             name,
             self._create_port(name, address),
-            self.term,
+            lambda: self._tenure.token,
             self._times,
+            incarnation,
             clock,
             self._grant_lease,
             self._grant_start,
@@ -507,9 +518,9 @@
                     self._tenure.give_up("the log refuses a round")
                 self._wake.set()
                 return
-        for name, number in decided.seen.items():
+        for name, seen in decided.seen.items():
             if name in self._sessions:
-                self._sessions[name].acknowledge(number)
+                self._sessions[name].acknowledge(seen)
         for order in decided.starts:
             self._send_start(order)
         if records.dropped:
--- a/src/larkhoist/control/tenure_keeper.py
+++ b/src/larkhoist/control/tenure_keeper.py
@@ -74,6 +74,8 @@
         self._first_pause_share = random.random()
         self._task: asyncio.Task | None = None
         self.term = 0
+        self.token = 0
+        """Fencing token: increases with each renewal and stays below any later term."""
         self.confirmed_s = float("-inf")
 
     async def start(self) -> None:
@@ -266,6 +268,7 @@
             case Success(end):
                 self._view.take(end, record, asked_s)
                 self.confirmed_s = asked_s
+                self.token = end
                 return True
             case Failure(problem):
                 log_event(
@@ -353,6 +356,7 @@
 
     def _gain(self, term: int, asked_s: float, previous: str) -> None:
         self.term = term
+        self.token = term
         self.confirmed_s = asked_s
         log_event(_logger, "tenure-gained", term=term, previous=previous)
         self._on_change(term)
--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -1,4 +1,4 @@
-"""Speak with one incarnation of one worker for the owner."""
+"""Speak with one worker for the owner, across restarts under the same name."""
 
 import asyncio
 from collections.abc import Callable
@@ -10,7 +10,8 @@
 from larkhoist.control.worker_clock import WorkerClock
 from larkhoist.daemon.clock import read_steady_s
 from larkhoist.daemon.tasks import cancel_tasks
-from larkhoist.fleet.effects import StartTask, StopTask
+from larkhoist.fleet.effects import SeenEnds, StartTask, StopTask
+from larkhoist.fleet.incarnation import Incarnation, IncarnationOrder
 from larkhoist.ports.task_worker import (
     LeaseCall,
     StartOrder,
@@ -89,7 +90,8 @@
     ``wait_share`` is how much of a lease may pass between two renewals: a short
     share lets leases outlast short cuts. ``idle_wait_s`` is how long a call without a
     lease waits. Before a start a clock that was last heard of ``clock_age_s`` ago is
-    asked for anew.
+    asked for anew. While a higher token is needed, the session checks for one every
+    ``token_pause_s``.
     """
 
     idle_wait_s: float = 0.6
@@ -97,6 +99,7 @@
     longest_wait_s: float = 1.0
     wait_share: float = 0.1
     silent_pause_s: float = 0.4
+    token_pause_s: float = 0.05
     ack_wait_s: float = 0.3
     start_tries: int = 2
     start_pause_s: float = 0.1
@@ -112,15 +115,19 @@
     """Own the calls to one worker and tell the owner what comes of them.
 
     ``grant_lease`` says how long a lease a call may bring, None where it may not;
-    ``grant_start`` the same for a start, None where it may not be sent.
+    ``grant_start`` the same for a start, None where it may not be sent. ``get_token``
+    returns the owner's fencing token, which increases with each renewal of the tenure.
+    Each incarnation of the worker is called with a higher token than the former one,
+    so that it refuses delayed calls that were sent to the former one.
     """
 
     def __init__(
         self,
         name: str,
         port: TaskWorkerPort,
-        token: int,
+        get_token: Callable[[], int],
         times: SessionTimes,
+        incarnation: Incarnation,
         clock: WorkerClock,
         grant_lease: GrantLease,
         grant_start: GrantStart,
@@ -128,8 +135,11 @@
     ):
         self._name = name
         self._port = port
-        self._token = token
+        self._get_token = get_token
+        self._token = get_token()
+        self._needs_higher_token = False
         self._times = times
+        self._incarnation = incarnation
         self._clock = clock
         self._grant_lease = grant_lease
         self._grant_start = grant_start
@@ -160,13 +170,24 @@
         if busy:
             self._wake.set()
 
-    def acknowledge(self, number: int) -> None:
-        """Let the worker forget ends up to a number: the log has them."""
-        if number > self._to_acknowledge:
-            self._to_acknowledge = number
+    def acknowledge(self, seen: SeenEnds) -> None:
+        """Let the worker forget the ends up to ``seen.number``: the log has them."""
+        if seen.started_ms != self._incarnation.started_ms:
+            # The current incarnation uses the same numbers for other ends.
+            return
+        if seen.number > self._to_acknowledge:
+            self._to_acknowledge = seen.number
             self._acked.set()
             self._wake.set()
 
+    def update_incarnation(self, started_ms: int) -> None:
+        """Apply the start time from the list of workers."""
+        match self._incarnation.compare(started_ms):
+            case IncarnationOrder.LATER:
+                self._begin_incarnation(started_ms)
+            case IncarnationOrder.SAME if not self._incarnation.started_ms:
+                self._incarnation.started_ms = started_ms
+
     def probe(self) -> None:
         """Ask at once whether the worker answers, beside what is under way."""
         self._spawn(self._probe())
@@ -185,10 +206,14 @@
             await self._ask()
             # A silent worker is asked on, since it takes no work until it answers.
             idle = not (self._busy or self._silent or self._has_unanswered_call)
+            idle = idle and not self._needs_higher_token
             if idle and self._acknowledged >= self._to_acknowledge:
                 self._wake.clear()
 
     async def _ask(self) -> None:
+        if not self._refresh_token():
+            await asyncio.sleep(self._times.token_pause_s)
+            return
         now_s = read_steady_s()
         lease_s = None if self._silent else self._grant_lease(self._name, now_s)
         lease_until_ms = None
@@ -198,17 +223,19 @@
         is_responsive = not (self._silent or self._has_unanswered_call)
         waits = self._busy and is_responsive and self._clock.is_known
         wait_ms = self._times.get_wait_ms(lease_s) if waits else 0
-        acknowledged = self._to_acknowledge
+        acknowledged = self._get_acknowledgement()
         call = LeaseCall(self._token, acknowledged, lease_until_ms, wait_ms)
         self._has_unanswered_call = False
-        result = await self._port.renew(call)
+        result = await self._renew(call, now_s)
         self._acked.clear()
+        if result is None:
+            return
         self._tell(ReportAnswer(self._name, now_s, result))
         match result:
             case Success(report):
                 self._silent = False
-                self._acknowledged = acknowledged
-                self._take_clock(report.clock_ms)
+                if self._is_current(call.token):
+                    self._acknowledged = max(self._acknowledged, acknowledged)
                 await self._wait_for_log(report)
             case Failure(_):
                 # A lease that is not answered may have been renewed. It is not
@@ -217,16 +244,75 @@
                 await asyncio.sleep(self._times.silent_pause_s)
 
     async def _probe(self) -> None:
+        if not self._refresh_token():
+            self._handle_unanswered_call()
+            return
         now_s = read_steady_s()
-        call = LeaseCall(self._token, self._to_acknowledge)
-        result = await self._port.renew(call)
+        result = await self._renew(LeaseCall(self._token, 0), now_s)
         match result:
-            case Success(report):
-                self._take_clock(report.clock_ms)
+            case None:
+                return
             case Failure(_):
                 self._handle_unanswered_call()
         self._tell(ReportAnswer(self._name, now_s, result))
 
+    async def _renew(
+        self, call: LeaseCall, asked_s: float
+    ) -> Result[WorkerReport, Problem] | None:
+        """Ask for a report; None where the answer is from a former incarnation.
+
+        A call that was fenced by a higher token of this session also returns None.
+        """
+        result = await self._port.renew(call)
+        match result:
+            case Success(report):
+                match self._incarnation.compare(report.started_ms, asked_s):
+                    case IncarnationOrder.FORMER:
+                        return None
+                    case IncarnationOrder.LATER:
+                        self._begin_incarnation(report.started_ms)
+                now_s = read_steady_s()
+                self._incarnation.record_answer(report.started_ms, now_s)
+                self._clock.take(report.clock_ms, now_s)
+            case Failure(problem):
+                if problem.code is Code.FENCED and call.token < self._token:
+                    return None
+        return result
+
+    def _get_acknowledgement(self) -> int:
+        """Return the end number that the next call acknowledges, 0 for none.
+
+        Nothing is acknowledged while the worker is silent: it may have restarted, and
+        would drop ends with the same numbers that have not been reported yet.
+        """
+        is_pending = self._to_acknowledge > self._acknowledged
+        return self._to_acknowledge if is_pending and not self._silent else 0
+
+    def _begin_incarnation(self, started_ms: int) -> None:
+        """Discard the clock and the end numbers of the former incarnation."""
+        self._incarnation = Incarnation(started_ms, read_steady_s())
+        self._clock = WorkerClock()
+        self._acknowledged = 0
+        self._to_acknowledge = 0
+        self._needs_higher_token = True
+        self._wake.set()
+
+    def _is_current(self, token: int) -> bool:
+        """Tell whether a call with ``token`` was sent to the current incarnation."""
+        return token == self._token and not self._needs_higher_token
+
+    def _refresh_token(self) -> bool:
+        """Take a higher token if a restart requires one; return whether it is usable.
+
+        Reports and starts wait for it: until the worker has seen a higher token, it
+        also accepts delayed calls that were sent to its former incarnation.
+        """
+        if self._needs_higher_token:
+            token = self._get_token()
+            self._needs_higher_token = token <= self._token
+            self._token = max(token, self._token)
+        return not self._needs_higher_token
+
     async def _wait_for_log(self, report: WorkerReport) -> None:
         newest = max((ended.number for ended in report.ended), default=0)
         while newest > self._to_acknowledge:
@@ -241,7 +327,9 @@
         if self._clock.get_age_s(read_steady_s()) > self._times.clock_age_s:
             # By an old estimate the lease is short, after 300 s over at once.
             await self._ask_for_clock()
-        call = self._make_start(order)
+        self._refresh_token()
+        token = self._token
+        call = self._make_start(order, token)
         if call is None:
             self._tell(StartDropped(self._name, order.task, order.attempt))
             return
@@ -251,7 +339,7 @@
             if not _is_silent(result):
                 break
             await asyncio.sleep(self._times.start_pause_s)
-            call = self._make_start(order)
+            call = self._make_start(order, token)
             if call is None:
                 break
             result = await self._try_start(call)
@@ -276,8 +364,14 @@
             self._own(self._asking_for_clock)
         await asyncio.wait([self._asking_for_clock])
 
-    def _make_start(self, order: StartTask) -> StartOrder | None:
-        """Return the call for a start that is sent now, None where it must not be."""
+    def _make_start(self, order: StartTask, token: int) -> StartOrder | None:
+        """Return the call for a start that is sent now, None where it must not be.
+
+        All tries use the same ``token``, so that none can act in a later incarnation
+        after a report of it has shown that the attempt is absent.
+        """
+        if not self._refresh_token() or token != self._token:
+            return None
         now_s = read_steady_s()
         # A start brings a lease for all that runs there, as a renewal does.
         lease_s = self._grant_start(order, now_s)
@@ -291,25 +385,20 @@
             order.attempt,
             order.payload,
             lease_until_ms,
-            self._token,
+            token,
             order.checkpoint,
         )
 
     async def _try_start(self, call: StartOrder) -> Result[int, Problem]:
         result = await self._port.start_task(call)
-        match result:
-            case Success(clock_ms):
-                self._take_clock(clock_ms)
-        return result
+        return self._take_order_answer(result, call.token)
 
     async def _stop(self, order: StopTask) -> None:
-        result = await self._port.stop_task(
-            StopOrder(order.task, order.attempt, self._token)
-        )
+        self._refresh_token()
+        call = StopOrder(order.task, order.attempt, self._token)
+        result = self._take_order_answer(await self._port.stop_task(call), call.token)
         code = None
         match result:
-            case Success(clock_ms):
-                self._take_clock(clock_ms)
             case Failure(problem):
                 code = problem.code
         if _is_silent(result):
@@ -324,8 +413,16 @@
         self._has_unanswered_call = True
         self._wake.set()
 
-    def _take_clock(self, clock_ms: int) -> None:
-        self._clock.take(clock_ms, read_steady_s())
+    def _take_order_answer(
+        self, result: Result[int, Problem], token: int
+    ) -> Result[int, Problem]:
+        """Update the clock from the answer to an order that was sent with ``token``."""
+        if not self._is_current(token):
+            return _convert_outdated_fencing(result)
+        match result:
+            case Success(clock_ms):
+                self._clock.take(clock_ms, read_steady_s())
+        return result
 
     def _spawn(self, job) -> None:
         self._own(asyncio.create_task(job))
@@ -335,6 +432,18 @@
         task.add_done_callback(self._orders.discard)
 
 
+def _convert_outdated_fencing(result: Result[int, Problem]) -> Result[int, Problem]:
+    """Replace ``FENCED`` where this session has moved on to a higher token itself.
+
+    ``FENCED`` would make the owner give up its tenure.
+    """
+    match result:
+        case Failure(problem) if problem.code is Code.FENCED:
+            detail = "the worker restarted after the order was sent"
+            return Failure(Problem(Code.ORDER_TOO_LATE, detail=detail))
+    return result
+
+
 def _is_silent(result: Result[int, Problem]) -> bool:
     match result:
         case Failure(problem):
--- a/src/larkhoist/daemon/metrics.py
+++ b/src/larkhoist/daemon/metrics.py
@@ -59,6 +59,7 @@
             ("fleet_over_absent_from_report", "Attempts over: a report lacks them"),
             ("fleet_over_lease_over", "Attempts over: the worker's lease had ended"),
             ("fleet_over_worker_replaced", "Attempts over: another life answered"),
+            ("fleet_over_worker_restarted", "Attempts over: the worker restarted"),
             ("fleet_config_version", "Version of the configuration in force here"),
             ("fleet_cordoned_halls", "Data halls that get no new work"),
             ("fleet_config_age_s", "Seconds since the configuration was current"),
--- a/src/larkhoist/fleet/effects.py
+++ b/src/larkhoist/fleet/effects.py
@@ -4,7 +4,7 @@
 
 from larkhoist.jobs.records import JobRecord, PhaseId
 
-__all__ = ["EndedJob", "Note", "Round", "StartTask", "StopTask"]
+__all__ = ["EndedJob", "Note", "Round", "SeenEnds", "StartTask", "StopTask"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,12 +43,23 @@
     phases: tuple[PhaseId, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class SeenEnds:
+    """Hold the number of the last end that was taken from a worker.
+
+    ``started_ms`` identifies the incarnation of the worker that numbered it.
+    """
+
+    started_ms: int
+    number: int
+
+
 @dataclass(slots=True)
 class Round:
     """Hold what one call to ``decide`` asks for.
 
-    ``seen`` holds, by worker, the number of the last end that ``records`` cover;
-    it may be acknowledged once they are on the log. ``probes`` names workers to be
+    ``seen`` holds, by worker, the last end that ``records`` cover; it may be
+    acknowledged once they are on the log. ``probes`` names workers to be
     asked at once whether they answer. ``ended`` names jobs none of whose tasks may
     run any more.
     """
@@ -57,6 +68,6 @@
     starts: list[StartTask] = field(default_factory=list)
     stops: list[StopTask] = field(default_factory=list)
     notes: list[Note] = field(default_factory=list)
-    seen: dict[str, int] = field(default_factory=dict)
+    seen: dict[str, SeenEnds] = field(default_factory=dict)
     probes: list[str] = field(default_factory=list)
     ended: list[EndedJob] = field(default_factory=list)
--- a/src/larkhoist/fleet/proofs.py
+++ b/src/larkhoist/fleet/proofs.py
@@ -20,6 +20,7 @@
     "Proof",
     "StartRefused",
     "WorkerReplaced",
+    "WorkerRestarted",
     "describe_proof",
 ]
 
@@ -84,6 +85,13 @@
     NAME: ClassVar[str] = "worker_replaced"
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerRestarted:
+    """The worker restarted under the same name, and its report lacks the attempt."""
+
+    NAME: ClassVar[str] = "worker_restarted"
+
+
 Proof = (
     EndListed
     | GangDone
@@ -92,6 +100,7 @@
     | AbsentFromReport
     | LeaseOver
     | WorkerReplaced
+    | WorkerRestarted
 )
 
 
--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -2,7 +2,8 @@
 
 from larkhoist.codes import Code
 from larkhoist.fleet.crashes import count_losses
-from larkhoist.fleet.effects import StopTask
+from larkhoist.fleet.effects import SeenEnds, StopTask
+from larkhoist.fleet.incarnation import IncarnationOrder
 from larkhoist.fleet.proofs import (
     AbsentFromReport,
     EndListed,
@@ -10,6 +11,7 @@
     Proof,
     StartRefused,
 )
+from larkhoist.fleet.restarts import begin_incarnation, release_lost_tasks
 from larkhoist.fleet.state import FleetState
 from larkhoist.fleet.task import Phase, Task, TaskState
 from larkhoist.fleet.worker import FleetWorker
@@ -35,28 +37,40 @@
     now_ms: int,
 ) -> None:
     """Take a worker's report that was asked for at ``asked_s``."""
-    _note_restart(state, worker, report, asked_s, now_s)
+    present = {(task.task, task.attempt) for task in report.running}
+    present |= {(ended.task, ended.attempt) for ended in report.ended}
+    match worker.incarnation.compare(report.started_ms, asked_s):
+        case IncarnationOrder.FORMER:
+            return
+        case IncarnationOrder.LATER:
+            begin_incarnation(state, worker, report.started_ms, now_s, present)
+    worker.incarnation.record_answer(report.started_ms, now_s)
     # By when the answer is taken: former owners may have renewed after it was asked.
     state.end_inherited_lease(worker, now_s)
-    present = {(task.task, task.attempt) for task in report.running}
     for ended in report.ended:
-        present.add((ended.task, ended.attempt))
         if ended.number > worker.seen:
             worker.seen = ended.number
             _take_end(state, worker, ended, now_s, now_ms)
         elif state.find_task(ended.task, ended.attempt) is not None:
             _note_ignored_end(state, worker, ended)
-    state.round.seen[worker.name] = worker.seen
+    seen = SeenEnds(worker.incarnation.started_ms, worker.seen)
+    state.round.seen[worker.name] = seen
     worker.strays = {}
     for running in report.running:
         _take_running(state, worker, running, now_s)
     if not report.whole:
         return
+    lost = []
     for phase, task in state.list_tasks_on(worker):
         absent = (task.name, task.attempt) not in present
-        if absent and task.is_on_worker and task.settled_s < asked_s:
-            proof = AbsentFromReport(asked_s, task.settled_s)
-            state.release(phase, task, proof, now_s)
+        if not (absent and task.is_on_worker and task.settled_s < asked_s):
+            continue
+        if worker.former_tasks.get(task.name) == task.attempt:
+            lost.append((phase, task))
+            continue
+        proof = AbsentFromReport(asked_s, task.settled_s)
+        state.release(phase, task, proof, now_s)
+    release_lost_tasks(state, worker, lost, now_s)
 
 
 def take_start_answer(
@@ -158,33 +172,8 @@
         state.release(phase, task, proof, now_s)
 
 
-def _note_restart(
-    state: FleetState,
-    worker: FleetWorker,
-    report: WorkerReport,
-    asked_s: float,
-    now_s: float,
-) -> None:
-    """Record the start time of a worker and log a restart since its last report."""
-    if worker.started_ms and report.started_ms not in (0, worker.started_ms):
-        state.note(
-            "worker-restarted",
-            worker=worker.name,
-            born_ms=report.started_ms,
-            former_born_ms=worker.started_ms,
-            tasks=len(worker.tasks),
-            seen=worker.seen,
-            report_age_s=round(now_s - asked_s, 3),
-        )
-    worker.started_ms = report.started_ms or worker.started_ms
-
-
 def _note_ignored_end(state: FleetState, worker: FleetWorker, ended: EndedTask) -> None:
-    """Log the end of a current attempt that was ignored because of its number.
-
-    A restarted worker numbers its ends from 1 again, so they can be at or below
-    ``seen``.
-    """
+    """Log the end of a current attempt that was ignored because of its number."""
     state.note(
         "task-end-ignored",
         task=ended.task,
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -10,6 +10,7 @@
 from larkhoist.fleet.crashes import has_given_up_task
 from larkhoist.fleet.effects import Round
 from larkhoist.fleet.guarantees import mark_firm
+from larkhoist.fleet.incarnation import IncarnationOrder
 from larkhoist.fleet.placement import place_waiting
 from larkhoist.fleet.policy import FleetPolicy
 from larkhoist.fleet.proofs import (
@@ -23,6 +24,7 @@
     take_stop_answer,
     take_worker_gone,
 )
+from larkhoist.fleet.restarts import begin_incarnation
 from larkhoist.fleet.state import FleetState
 from larkhoist.fleet.task import TaskState
 from larkhoist.fleet.worker import FleetWorker, create_worker
@@ -333,6 +335,14 @@
     def _update_worker(
         self, worker: FleetWorker, entry: ListedTaskWorker, now_s: float
     ) -> None:
+        match worker.incarnation.compare(entry.started_ms):
+            case IncarnationOrder.FORMER:
+                self._mark_listed(worker)
+                return
+            case IncarnationOrder.LATER:
+                begin_incarnation(self.state, worker, entry.started_ms, now_s)
+            case IncarnationOrder.SAME if not worker.incarnation.started_ms:
+                worker.incarnation.started_ms = entry.started_ms
         if entry.leaving and not worker.leaving:
             self.state.note("worker-leaving", worker=worker.name)
             worker.leaving = True
@@ -348,11 +358,15 @@
                 used=_format_room(worker.used),
             )
             worker.resize(entry.capacity)
+        self._mark_listed(worker)
+        self.state.changed = True
+
+    def _mark_listed(self, worker: FleetWorker) -> None:
         if not worker.listed:
             worker.listed = True
             worker.unlisted_s = None
+            self.state.changed = True
             self.state.note("worker-listed-again", worker=worker.name)
-        self.state.changed = True
 
     def _clear_leaving(self, worker: FleetWorker, now_s: float) -> None:
         """Stop what keeps its progress and would not end before the worker goes."""
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -20,6 +20,7 @@
     NeverSent,
     Proof,
     StartRefused,
+    WorkerRestarted,
     describe_proof,
 )
 from larkhoist.fleet.reservations import Reservations
@@ -260,7 +261,7 @@
         match proof:
             case StartRefused() | NeverSent():
                 phase.unserved_since_s = phase.unserved_before_s
-            case AbsentFromReport() if not task.seen_running:
+            case AbsentFromReport() | WorkerRestarted() if not task.seen_running:
                 # The start never acted: its owner was gone, or the order was lost.
                 phase.unserved_since_s = phase.unserved_before_s
             case _ if not phase.has_waiting:
--- a/src/larkhoist/fleet/worker.py
+++ b/src/larkhoist/fleet/worker.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from larkhoist.fleet.incarnation import Incarnation
 from larkhoist.ports.fleet import ListedTaskWorker, Resources
 
 __all__ = ["FleetWorker", "create_worker"]
@@ -18,8 +19,8 @@
     last call that was answered, ``silent_s`` when it fell silent.
     ``unlisted_s`` is since when its entry is off the list, ``refused_pause_s`` how long
     the last refusal in a row has paused it; ``strays`` holds the attempts by task that
-    its last report named and nobody wants. ``started_ms`` is its last reported start
-    time in Unix milliseconds, 0 if unknown.
+    its last report named and nobody wants. ``former_tasks`` holds the attempts by
+    task that were sent to its former incarnation.
     """
 
     name: str
@@ -45,7 +46,8 @@
     seen: int = 0
     strays: dict[str, int] = field(default_factory=dict)
     strays_stopped_s: float = float("-inf")
-    started_ms: int = 0
+    incarnation: Incarnation = field(default_factory=Incarnation)
+    former_tasks: dict[str, int] = field(default_factory=dict)
 
     free: Resources = field(init=False)
 
@@ -58,10 +60,21 @@
         self.hall = listed.hall
         self.rack = listed.rack
         self.labels = listed.labels
-        self.capacity = listed.capacity
         self.address = listed.address
+        self.capacity = listed.capacity
         self.free = self.capacity - self.used
 
+    def begin_incarnation(
+        self, started_ms: int, former_tasks: dict[str, int], now_s: float
+    ) -> None:
+        """Discard the former incarnation's state; ends are numbered from 1 again."""
+        self.incarnation = Incarnation(started_ms, now_s)
+        self.former_tasks = former_tasks
+        self.seen = 0
+        self.strays = {}
+        self.paused_until_s = float("-inf")
+        self.refused_pause_s = 0.0
+
     def resize(self, capacity: Resources) -> None:
         """Take over another room; what runs there may be more than fits by now."""
         self.free += capacity - self.capacity
--- a/src/larkhoist/scheduling/quarantine.py
+++ b/src/larkhoist/scheduling/quarantine.py
@@ -52,6 +52,10 @@
         record.failures = FAILURES_TO_QUARANTINE - 1
         return True
 
+    def forget(self, worker: str) -> None:
+        """Drop the failures of a worker that is gone or restarted."""
+        self._records.pop(worker, None)
+
     def holds(self, worker: str, now_s: float) -> bool:
         """Tell whether the worker is kept out."""
         record = self._records.get(worker)
