Apply the new list entry when a worker restarts

The scheduler kept list data by worker name. A worker that had announced its departure, or whose address was found to belong to another worker, got no work while its entry remained listed. Its labels, rack and address were read only once. Because a worker may restart under the same name with different attributes and at a different address, capacity stayed unused, and tasks could be started on a worker without the required label. Found by code review; no caller was observed to be affected.

Entries of a later incarnation now replace all of this state, and entries of a former incarnation change none of it. The session is reopened if the address has changed.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -415,13 +415,19 @@
     def _open_session(
         self, name: str, address: str, incarnation: Incarnation, clock: WorkerClock
     ) -> None:
-        """Open a session, or pass the listed start time to the existing one."""
+        """Open a session, or update the existing one with the listed start time.
+
+        It is reopened if the worker has restarted at another address.
+        """
         session = self._sessions.get(name)
         if session is not None:
-            session.update_incarnation(incarnation.started_ms)
-            return
+            has_restarted = session.update_incarnation(incarnation.started_ms)
+            if not has_restarted or session.address == address:
+                return
+            self._spawn(session.close())
         session = WorkerSession(
             name,
+            address,
             self._create_port(name, address),
             lambda: self._tenure.token,
             self._times,
--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -124,6 +124,7 @@
     def __init__(
         self,
         name: str,
+        address: str,
         port: TaskWorkerPort,
         get_token: Callable[[], int],
         times: SessionTimes,
@@ -133,6 +134,7 @@
         grant_start: GrantStart,
         tell: Callable[[Message], None],
     ):
+        self.address = address
         self._name = name
         self._port = port
         self._get_token = get_token
@@ -180,13 +182,15 @@
             self._acked.set()
             self._wake.set()
 
-    def update_incarnation(self, started_ms: int) -> None:
-        """Apply the start time from the list of workers."""
+    def update_incarnation(self, started_ms: int) -> bool:
+        """Apply the listed start time; return whether it begins a new incarnation."""
         match self._incarnation.compare(started_ms):
             case IncarnationOrder.LATER:
                 self._begin_incarnation(started_ms)
+                return True
             case IncarnationOrder.SAME if not self._incarnation.started_ms:
                 self._incarnation.started_ms = started_ms
+        return False
 
     def probe(self) -> None:
         """Ask at once whether the worker answers, beside what is under way."""
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -48,7 +48,7 @@
         self._look_s = float("-inf")
         self._has_more = False
         self._taken: set[str] = set()
-        self._replaced: set[str] = set()
+        self._replaced: dict[str, int] = {}
 
     # What the scheduler is told.
 
@@ -74,7 +74,7 @@
         names = set()
         for entry in listed:
             names.add(entry.name)
-            if entry.name in self._replaced:
+            if self._is_replaced(entry):
                 # The entry outlives the worker; each look would ask it again.
                 continue
             worker = workers.get(entry.name)
@@ -82,7 +82,11 @@
                 self._add_worker(entry, now_s)
             else:
                 self._update_worker(worker, entry, now_s)
-        self._replaced &= names
+        self._replaced = {
+            name: started_ms
+            for name, started_ms in self._replaced.items()
+            if name in names
+        }
         for name, worker in workers.items():
             if name not in names and worker.listed:
                 self._unlist(worker, now_s)
@@ -219,7 +223,7 @@
         if found is not None:
             found.listed = False
             found.strays = {}
-            self._replaced.add(worker)
+            self._replaced[worker] = found.incarnation.started_ms
             take_worker_gone(self.state, found, WorkerReplaced(), now_s)
 
     def is_wanted(self, task: str, attempt: int) -> bool:
@@ -321,6 +325,11 @@
 
     # The list of workers.
 
+    def _is_replaced(self, entry: ListedTaskWorker) -> bool:
+        """Tell whether the entry's incarnation, or a later one, was replaced."""
+        started_ms = self._replaced.get(entry.name)
+        return started_ms is not None and entry.started_ms <= started_ms
+
     def _add_worker(self, entry: ListedTaskWorker, now_s: float) -> None:
         worker = self.state.workers.get(entry.name)
         if worker is None:
@@ -343,6 +352,7 @@
                 begin_incarnation(self.state, worker, entry.started_ms, now_s)
             case IncarnationOrder.SAME if not worker.incarnation.started_ms:
                 worker.incarnation.started_ms = entry.started_ms
+        worker.update_attributes(entry)
         if entry.leaving and not worker.leaving:
             self.state.note("worker-leaving", worker=worker.name)
             worker.leaving = True
--- a/src/larkhoist/fleet/worker.py
+++ b/src/larkhoist/fleet/worker.py
@@ -56,11 +56,7 @@
 
     def take_entry(self, listed: ListedTaskWorker) -> None:
         """Take over what the list tells of a worker that was known by name alone."""
-        self.service = listed.service
-        self.hall = listed.hall
-        self.rack = listed.rack
-        self.labels = listed.labels
-        self.address = listed.address
+        self.update_attributes(listed)
         self.capacity = listed.capacity
         self.free = self.capacity - self.used
 
@@ -70,11 +66,21 @@
         """Discard the former incarnation's state; ends are numbered from 1 again."""
         self.incarnation = Incarnation(started_ms, now_s)
         self.former_tasks = former_tasks
+        self.leaving = False
+        self.leaves_s = None
         self.seen = 0
         self.strays = {}
         self.paused_until_s = float("-inf")
         self.refused_pause_s = 0.0
 
+    def update_attributes(self, listed: ListedTaskWorker) -> None:
+        """Update the service, location, labels and address from a listed entry."""
+        self.service = listed.service
+        self.hall = listed.hall
+        self.rack = listed.rack
+        self.labels = listed.labels
+        self.address = listed.address
+
     def resize(self, capacity: Resources) -> None:
         """Take over another room; what runs there may be more than fits by now."""
         self.free += capacity - self.capacity
--- a/tests/control/test_scheduler_node.py
+++ b/tests/control/test_scheduler_node.py
@@ -1,6 +1,7 @@
 """Check that some instance schedules while one of them can't."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from returns.result import Success
@@ -118,3 +119,38 @@
             await asyncio.sleep(0.001)
     assert node.term
     assert nodes.worker.asked_s < done_s + 0.15
+
+
+async def test_a_session_is_reopened_when_a_worker_restarts_at_another_address():
+    # Guards against a session that keeps the former incarnation's address.
+    log = MemoryLog()
+    log.streams[CONFIGURATION_STREAM] = [KeyedRecord("config", b"1")]
+    log.streams[WORKER_STREAM] = [KeyedRecord("w1", b"1")]
+    addresses = []
+
+    def decode_worker(record) -> ListedTaskWorker:
+        if record.value == b"1":
+            return replace(LISTED, started_ms=1000)
+        return replace(LISTED, started_ms=2000, address="other")
+
+    def create_port(name: str, address: str) -> Worker:
+        addresses.append(address)
+        return Worker()
+
+    node = create_scheduler_node(
+        FleetSettings(instance="one", hall="hall"),
+        PartialLog(log),
+        lambda record: CATALOG,
+        lambda record: None,
+        decode_worker,
+        create_port,
+    )
+    await node.start()
+    async with asyncio.timeout(5):
+        while not addresses:
+            await asyncio.sleep(0.01)
+        log.streams[WORKER_STREAM].append(KeyedRecord("w1", b"2"))
+        while len(addresses) < 2:
+            await asyncio.sleep(0.01)
+    await node.close()
+    assert addresses == ["address", "other"]
--- a/tests/control/test_worker_session.py
+++ b/tests/control/test_worker_session.py
@@ -53,6 +53,7 @@
     """Return a session with a worker whose clock was just heard of, at 0."""
     return WorkerSession(
         "w0",
+        "address",
         worker,
         get_token,
         QUICK,
--- a/tests/fleet/test_worker_restarts.py
+++ b/tests/fleet/test_worker_restarts.py
@@ -1,9 +1,12 @@
 """Check what the owner logs when a worker restarts under the same name."""
 
+from dataclasses import replace as replace_fields
+
 from msgspec.structs import replace
 
 from larkhoist.fleet.effects import Note
 from larkhoist.jobs.spec import StepSpec
+from larkhoist.ports.fleet import ListedTaskWorker
 from larkhoist.ports.task_worker import EndedTask, EndKind, WorkerReport
 from tests.fleet.cases import make_job, make_machine
 from tests.fleet.checks import check_history, check_outcomes
@@ -91,3 +94,56 @@
     machine.run(3.0)
     gang = [run for run in machine.world.history if run.task.startswith(jobs[1].job_id)]
     assert len(gang) == 6
+
+
+def list_worker(machine: FleetMachine, entry: ListedTaskWorker) -> None:
+    """Pass the scheduler a worker list that contains only ``entry``."""
+    machine.owner.scheduler.take_list([entry], machine.now_s)
+
+
+def test_a_leaving_worker_is_usable_after_its_restart():
+    machine = make_machine(1)
+    machine.run(1.0)
+    (entry,) = machine._list_workers()
+    worker = machine.owner.scheduler.state.workers["w0"]
+    list_worker(machine, replace_fields(entry, leaving=True))
+    assert not worker.is_usable(machine.now_s)
+    list_worker(machine, replace_fields(entry, started_ms=entry.started_ms + 1))
+    assert worker.is_usable(machine.now_s)
+
+
+def test_a_restarted_worker_gets_its_newly_listed_attributes():
+    machine = make_machine(1)
+    machine.run(1.0)
+    (entry,) = machine._list_workers()
+    labels = frozenset(("b", "r7"))
+    later = replace_fields(
+        entry, started_ms=entry.started_ms + 1, rack="r7", labels=labels, address="x"
+    )
+    list_worker(machine, later)
+    worker = machine.owner.scheduler.state.workers["w0"]
+    assert (worker.rack, worker.labels, worker.address) == ("r7", labels, "x")
+
+
+def test_an_entry_of_a_former_incarnation_changes_nothing():
+    machine = make_machine(1)
+    machine.run(1.0)
+    (entry,) = machine._list_workers()
+    later = WorkerReport(0, (), (), started_ms=entry.started_ms + 1)
+    take_report(machine, "w0", later)
+    list_worker(machine, replace_fields(entry, leaving=True))
+    assert machine.owner.scheduler.state.workers["w0"].is_usable(machine.now_s)
+
+
+def test_a_replaced_worker_is_listed_again_after_its_restart():
+    # Guards against ignoring every later entry with a replaced worker's name.
+    machine = make_machine(1)
+    machine.run(1.0)
+    (entry,) = machine._list_workers()
+    scheduler = machine.owner.scheduler
+    scheduler.note_replaced("w0", machine.now_s)
+    scheduler.decide(machine.now_s, machine.now_ms)
+    list_worker(machine, entry)
+    assert "w0" not in scheduler.state.workers
+    list_worker(machine, replace_fields(entry, started_ms=entry.started_ms + 1))
+    assert scheduler.state.workers["w0"].listed
