Count a worker restart as a crash against the tasks it ended

A task that crashes every worker it runs on was retried without limit if the worker came back under the same name: only a worker with another name at the same address counted as a crash. An attempt ended by a restart now counts as a crash if the task was seen running and the worker had not announced that it leaves; otherwise it counts as a worker that may have been lost. Progress records in the log store the start time of the worker incarnation that an attempt was assigned to, so that a new owner counts the restart as well. Records without this field are read as before.

--- a/src/larkhoist/fleet/crashes.py
+++ b/src/larkhoist/fleet/crashes.py
@@ -7,7 +7,12 @@
 
 from msgspec.structs import replace
 
-from larkhoist.fleet.proofs import LeaseOver, Proof, WorkerReplaced
+from larkhoist.fleet.proofs import (
+    LeaseOver,
+    Proof,
+    WorkerReplaced,
+    WorkerRestarted,
+)
 from larkhoist.fleet.task import ActiveJob, Phase, Task, TaskState
 from larkhoist.fleet.worker import FleetWorker
 from larkhoist.jobs.records import LostWorkers
@@ -67,14 +72,19 @@
     lost = task.lost
     match proof:
         case WorkerReplaced() if task.seen_running and not worker.leaving:
-            blamed = lost.blamed + is_newest
-            return replace(lost, crashes=lost.crashes + 1, blamed=blamed)
-        case WorkerReplaced() | LeaseOver():
+            return _add_crash(lost, is_newest)
+        case WorkerRestarted(was_leaving) if task.seen_running and not was_leaving:
+            return _add_crash(lost, is_newest)
+        case WorkerReplaced() | WorkerRestarted() | LeaseOver():
             return replace(lost, unsure=lost.unsure + 1)
         case _:
             return lost
 
 
+def _add_crash(lost: LostWorkers, is_newest: bool) -> LostWorkers:
+    return replace(lost, crashes=lost.crashes + 1, blamed=lost.blamed + is_newest)
+
+
 def note_start(task: Task) -> None:
     """Count the start of a task under which many workers were lost."""
     if task.lost.count >= MANY_LOST:
--- a/src/larkhoist/fleet/proofs.py
+++ b/src/larkhoist/fleet/proofs.py
@@ -87,9 +87,13 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerRestarted:
-    """The worker restarted under the same name, and its report lacks the attempt."""
+    """The worker restarted under the same name, and its report lacks the attempt.
+
+    ``was_leaving`` is set if the former incarnation had announced that it leaves.
+    """
 
     NAME: ClassVar[str] = "worker_restarted"
+    was_leaving: bool = False
 
 
 Proof = (
--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -65,7 +65,7 @@
         absent = (task.name, task.attempt) not in present
         if not (absent and task.is_on_worker and task.settled_s < asked_s):
             continue
-        if worker.former_tasks.get(task.name) == task.attempt:
+        if worker.has_restarted_since(task.worker_started_ms):
             lost.append((phase, task))
             continue
         proof = AbsentFromReport(asked_s, task.settled_s)
@@ -268,6 +268,7 @@
         task.state = TaskState.RUNNING
     # It has begun, and no attempt begins twice on one worker.
     task.seen_running = True
+    task.worker_started_ms = worker.incarnation.started_ms
     task.settled_s = min(task.settled_s, now_s)
     if running.checkpoint and running.checkpoint != task.checkpoint:
         task.saved_s = now_s
--- a/src/larkhoist/fleet/restarts.py
+++ b/src/larkhoist/fleet/restarts.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection
 
+from larkhoist.fleet.crashes import count_losses
 from larkhoist.fleet.proofs import WorkerRestarted
 from larkhoist.fleet.state import FleetState
 from larkhoist.fleet.task import Phase, Task, TaskState
@@ -44,8 +45,7 @@
             state.stop(phase, task, now_s)
         else:
             task.settled_s = now_s
-    former = {task.name: task.attempt for _, task in tasks}
-    worker.begin_incarnation(started_ms, former, now_s)
+    worker.begin_incarnation(started_ms, now_s)
     # The later incarnation may have carried out delayed calls to the former one.
     state.extend_lease(worker, now_s, state.policy.lease_s)
     state.quarantine.forget(worker.name)
@@ -60,6 +60,7 @@
     now_s: float,
 ) -> None:
     """Release tasks that ended with the former incarnation of their worker."""
-    proof = WorkerRestarted()
+    proof = WorkerRestarted(worker.was_leaving)
+    count_losses(lost, worker, proof, now_s)
     for phase, task in lost:
         state.release(phase, task, proof, now_s)
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -189,7 +189,9 @@
             task.seen_running = False
             note_start(task)
             self._occupy(phase, task, places[task.index])
-            self.extend_lease(self.workers[task.worker], now_s, self.policy.lease_s)
+            worker = self.workers[task.worker]
+            task.worker_started_ms = worker.incarnation.started_ms
+            self.extend_lease(worker, now_s, self.policy.lease_s)
             self.round.starts.append(
                 StartTask(
                     task.worker,
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -37,7 +37,8 @@
     From ``settled_s`` on no order given before can begin the attempt any more, so
     that a report asked for later tells for certain whether it runs. ``seen_running``
     tells that the worker itself has said that the attempt runs, to this owner.
-    ``lost`` counts the workers that were lost under it.
+    ``lost`` counts the workers that were lost under it. ``worker_started_ms`` is the
+    start time of the worker incarnation that the attempt was assigned to, 0 if unknown.
     """
 
     name: str
@@ -46,6 +47,7 @@
     attempt: int = 0
     worker: str = ""
     address: str = ""
+    worker_started_ms: int = 0
     failures: int = 0
     checkpoint: str = ""
     began_s: float = 0.0
@@ -190,6 +192,7 @@
                     task.checkpoint,
                     task.address if task.is_on_worker else "",
                     task.lost,
+                    task.worker_started_ms if task.is_on_worker else 0,
                 )
                 for task in self.tasks
             ),
@@ -277,3 +280,4 @@
         task.state = TaskState.RUNNING
         task.worker = kept.worker
         task.address = kept.address
+        task.worker_started_ms = kept.worker_started_ms
--- a/src/larkhoist/fleet/worker.py
+++ b/src/larkhoist/fleet/worker.py
@@ -19,8 +19,8 @@
     last call that was answered, ``silent_s`` when it fell silent.
     ``unlisted_s`` is since when its entry is off the list, ``refused_pause_s`` how long
     the last refusal in a row has paused it; ``strays`` holds the attempts by task that
-    its last report named and nobody wants. ``former_tasks`` holds the attempts by
-    task that were sent to its former incarnation.
+    its last report named and nobody wants. ``was_leaving`` is set if
+    its former incarnation had announced that it leaves.
     """
 
     name: str
@@ -47,7 +47,7 @@
     strays: dict[str, int] = field(default_factory=dict)
     strays_stopped_s: float = float("-inf")
     incarnation: Incarnation = field(default_factory=Incarnation)
-    former_tasks: dict[str, int] = field(default_factory=dict)
+    was_leaving: bool = False
 
     free: Resources = field(init=False)
 
@@ -60,12 +60,18 @@
         self.capacity = listed.capacity
         self.free = self.capacity - self.used
 
-    def begin_incarnation(
-        self, started_ms: int, former_tasks: dict[str, int], now_s: float
-    ) -> None:
+    def has_restarted_since(self, started_ms: int) -> bool:
+        """Tell whether the worker's start time is known to differ from ``started_ms``.
+
+        A start time of 0 is unknown and never counts as a restart.
+        """
+        current_ms = self.incarnation.started_ms
+        return 0 not in (started_ms, current_ms) and started_ms != current_ms
+
+    def begin_incarnation(self, started_ms: int, now_s: float) -> None:
         """Discard the former incarnation's state; ends are numbered from 1 again."""
         self.incarnation = Incarnation(started_ms, now_s)
-        self.former_tasks = former_tasks
+        self.was_leaving = self.leaving
         self.leaving = False
         self.leaves_s = None
         self.seen = 0
--- a/src/larkhoist/jobs/records.py
+++ b/src/larkhoist/jobs/records.py
@@ -89,7 +89,8 @@
     counts attempts that ended as failed; ``checkpoint`` is where the next attempt
     goes on. ``address`` reaches the worker when it is off the platform's list: without
     it a successor could neither stop a task there nor keep up its lease. ``lost``
-    counts the workers that were lost under it.
+    counts the workers that were lost under it. ``worker_started_ms`` is the start time
+    of the worker incarnation that the attempt was assigned to, 0 if unknown.
     """
 
     attempt: int = 0
@@ -99,6 +100,7 @@
     checkpoint: str = ""
     address: str = ""
     lost: LostWorkers = LostWorkers()
+    worker_started_ms: int = 0
 
 
 class PhaseProgress(msgspec.Struct, frozen=True, tag="p"):
--- a/tests/fleet/test_worker_restarts.py
+++ b/tests/fleet/test_worker_restarts.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace as replace_fields
 
+import pytest
 from msgspec.structs import replace
 
 from larkhoist.fleet.effects import Note
@@ -147,3 +148,32 @@
     assert "w0" not in scheduler.state.workers
     list_worker(machine, replace_fields(entry, started_ms=entry.started_ms + 1))
     assert scheduler.state.workers["w0"].listed
+
+
+@pytest.mark.parametrize(("leaving", "crashes"), [(False, 1), (True, 0)])
+def test_a_restart_counts_as_a_crash_unless_the_worker_was_leaving(leaving, crashes):
+    # Guards against retrying a task without limit when it crashes every worker.
+    machine, run = run_one_task()
+    scheduler = machine.owner.scheduler
+    (entry,) = [e for e in machine._list_workers() if e.name == run.worker]
+    list_worker(machine, replace_fields(entry, leaving=leaving))
+    started_ms = entry.started_ms + 1
+    take_report(machine, run.worker, WorkerReport(0, (), (), started_ms=started_ms))
+    machine.now_s += 0.1
+    take_report(machine, run.worker, WorkerReport(0, (), (), started_ms=started_ms))
+    _, task = scheduler.state.find(run.task)
+    assert not task.is_on_worker
+    assert task.lost.crashes == crashes
+
+
+def test_a_restart_before_a_change_of_owner_counts_as_a_lost_worker():
+    # Guards against a new owner that treats the lost attempt as never started.
+    machine, run = run_one_task()
+    worker = machine.world.workers[run.worker]
+    machine.world.kill(worker, machine.now_s)
+    machine.world.restart(worker, machine.now_s + 0.1)
+    machine.replace_owner()
+    machine.run(1.0)
+    _, task = machine.owner.scheduler.state.find(run.task)
+    assert task.attempt == 2
+    assert task.lost.unsure == 1
