Log why a step stands: excluded workers, spread limits, racks, use

What is seen: a step waits with 'too little room' beside more than a hundred free accelerators, and nothing tells a spread limit from workers that are excluded or from a rack without room.

'stands' now has the room within the spread limit and in one rack, how many tasks of the step are done and on workers, how many workers are excluded and why, and the shares of the service's room in use. No decision changes.

--- a/src/larkhoist/fleet/placing.py
+++ b/src/larkhoist/fleet/placing.py
@@ -15,6 +15,7 @@
     "WorkerGroup",
     "WorkerGroups",
     "count_capacity",
+    "count_fitting",
     "find_places",
     "list_eligible",
 ]
@@ -124,12 +125,10 @@
 
 def _fill(group, spec, count, taken, get_free, get_pace) -> _Filled:
     rooms = []
-    need = spec.need
+    need, limit = spec.need, spec.spread_limit
     for worker in group:
         free = get_free(worker)
-        fitting = free.count_fitting(need)
-        if spec.spread_limit:
-            fitting = min(fitting, spec.spread_limit - taken.get(worker.name, 0))
+        fitting = count_fitting(free, need, limit, taken.get(worker.name, 0))
         if fitting > 0:
             pace = get_pace(worker) if get_pace is not None else 0
             room = (pace, free.accelerators, free.cpu_milli, worker.name, fitting)
@@ -148,11 +147,16 @@
 
 def count_capacity(workers: list[FleetWorker], spec: StepSpec) -> int:
     """Return how many tasks of a step the workers could hold when empty."""
-    total = 0
-    need = spec.need
-    for worker in workers:
-        fitting = worker.capacity.count_fitting(need)
-        if spec.spread_limit:
-            fitting = min(fitting, spec.spread_limit)
-        total += fitting
-    return total
+    need, limit = spec.need, spec.spread_limit
+    return sum(count_fitting(worker.capacity, need, limit, 0) for worker in workers)
+
+
+def count_fitting(room: Resources, need: Resources, limit: int, taken: int) -> int:
+    """Return how many more tasks fit into a worker's room, 0 at least.
+
+    ``limit`` is the step's spread limit, 0 for none; ``taken`` counts towards it.
+    """
+    fitting = room.count_fitting(need)
+    if not limit:
+        return fitting
+    return max(0, min(fitting, limit - taken))
--- a/src/larkhoist/fleet/wait_notes.py
+++ b/src/larkhoist/fleet/wait_notes.py
@@ -1,9 +1,13 @@
 """Log why phases wait, with what tells one reason from another."""
 
-from larkhoist.fleet.placing import list_eligible
+from collections import Counter
+
+from larkhoist.fleet.exclusion import count_exclusions, format_exclusions
+from larkhoist.fleet.placing import count_fitting, list_eligible
 from larkhoist.fleet.ranking import Tier
+from larkhoist.fleet.room import ServiceRoom, count_service_rooms
 from larkhoist.fleet.state import FleetState
-from larkhoist.fleet.task import Phase
+from larkhoist.fleet.task import Phase, TaskState
 from larkhoist.fleet.waits import WaitReason
 from larkhoist.fleet.worker import FleetWorker
 
@@ -64,7 +68,7 @@
             kept_for_urgent=kept_for_urgent,
             used_share=self._used_share,
             reserved_workers=len(self._state.reservations),
-            **(self._count_room(phase) if event == STANDS else {}),
+            **(self._describe_stand(phase) if event == STANDS else {}),
         )
 
     def _choose_event(self, phase: Phase, reason: WaitReason) -> str:
@@ -76,21 +80,38 @@
         self._stands_left -= 1
         return STANDS if self._stands_left >= 0 else ""
 
-    def _count_room(self, phase: Phase) -> dict[str, int]:
+    def _describe_stand(self, phase: Phase) -> dict[str, object]:
+        """Return what tells why a phase stands that has waited for long."""
+        service = self._state.jobs[phase.id.job_id].job.terms.service
+        workers = list_eligible(self._state.workers.values(), service, phase.spec)
+        return {
+            **self._count_room(phase, service, workers),
+            "limited_room_for": self._count_limited_room(phase, workers),
+            "rack_room_for": self._count_rack_room(phase, workers),
+            "done": sum(task.state is TaskState.DONE for task in phase.tasks),
+            "on_workers": sum(task.is_on_worker for task in phase.tasks),
+            "excluded": format_exclusions(
+                count_exclusions(self._state, workers, self._now_s)
+            ),
+            "service_used": self._describe_use(service),
+        }
+
+    def _count_room(
+        self, phase: Phase, service: str, workers: list[FleetWorker]
+    ) -> dict[str, int]:
         """Return for how many tasks there is room now, whatever is preferred.
 
         ``held_out`` is the room on responsive workers that get no new work, ``silent``
         the room on workers whose last call was not answered.
         """
-        service = self._state.jobs[phase.id.job_id].job.terms.service
         key = (service, phase.spec.label, phase.need)
         if key not in self._rooms:
-            self._rooms[key] = self._count_anew(phase, service)
+            self._rooms[key] = self._count_anew(phase, workers)
         return self._rooms[key]
 
-    def _count_anew(self, phase: Phase, service: str) -> dict[str, int]:
+    def _count_anew(self, phase: Phase, workers: list[FleetWorker]) -> dict[str, int]:
         room_for = held_out = silent = 0
-        for worker in list_eligible(self._state.workers.values(), service, phase.spec):
+        for worker in workers:
             fitting = worker.free.count_fitting(phase.need)
             if self._state.is_usable(worker, self._now_s):
                 room_for += fitting
@@ -99,3 +120,33 @@
             elif worker.listed and not worker.leaving:
                 silent += fitting
         return {"room_for": room_for, "held_out": held_out, "silent": silent}
+
+    def _count_limited_room(self, phase: Phase, workers: list[FleetWorker]) -> int:
+        """Return the room on usable workers within the step's spread limit."""
+        need, limit = phase.need, phase.spec.spread_limit
+        taken = phase.count_taken()
+        return sum(
+            count_fitting(worker.free, need, limit, taken.get(worker.name, 0))
+            for worker in workers
+            if self._state.is_usable(worker, self._now_s)
+        )
+
+    def _count_rack_room(self, phase: Phase, workers: list[FleetWorker]) -> int:
+        """Return the most room in one rack, or in that of the step's data."""
+        rooms: Counter[str] = Counter()
+        for worker in workers:
+            if self._state.is_usable(worker, self._now_s):
+                rooms[worker.rack] += worker.free.count_fitting(phase.need)
+        if phase.spec.data_rack:
+            return rooms[phase.spec.data_rack]
+        return max(rooms.values(), default=0)
+
+    def _describe_use(self, service: str) -> str:
+        """Return the used shares of processor, memory and accelerators."""
+        room = count_service_rooms(self._state).get(service, ServiceRoom())
+        pairs = (
+            (room.used.cpu_milli, room.total.cpu_milli),
+            (room.used.memory_mb, room.total.memory_mb),
+            (room.used.accelerators, room.total.accelerators),
+        )
+        return "/".join(f"{used / total if total else 0:.3f}" for used, total in pairs)
