Add failing tests of steps wider than their spread limit

A step of 8 tasks with a limit of one for each worker stops after six on six workers, and never goes on; so does one whose workers left for good before it came.

--- /dev/null
+++ b/tests/fleet/test_spread_limits.py
@@ -0,0 +1,45 @@
+"""Run steps with more tasks than their spread limit lets run at once."""
+
+import pytest
+
+from larkhoist.jobs.spec import StepSpec
+from tests.fleet.cases import make_job, make_machine
+from tests.fleet.checks import check_history, check_outcomes
+
+WORK_S = 2.0
+
+
+@pytest.mark.parametrize(("count", "limit"), [(8, 1), (14, 1), (13, 2)])
+def test_a_step_wider_than_its_spread_limit_stood_still_for_good(count, limit):
+    # Workers whose task had ended as done were never given another one.
+    job = make_job(1, StepSpec(count=count, accelerators=1, spread_limit=limit))
+    machine = make_machine(6, (job,), work_s=WORK_S)
+    machine.submit(job)
+    machine.run(5 * WORK_S)
+    check_history(machine)
+    check_outcomes(machine)
+
+
+def test_the_next_task_starts_as_soon_as_the_limit_allows():
+    job = make_job(1, StepSpec(count=7, accelerators=1, spread_limit=1))
+    machine = make_machine(6, (job,), work_s=WORK_S)
+    machine.submit(job)
+    machine.run(4 * WORK_S)
+    runs = sorted(run.began_s for run in machine.world.history)
+    first_end_s = min(run.ended_s for run in machine.world.history)
+    assert len(runs) == 7
+    assert runs[-1] <= first_end_s + 0.3
+
+
+def test_a_step_goes_on_after_workers_left_for_good():
+    job = make_job(1, StepSpec(count=6, accelerators=1, spread_limit=1))
+    machine = make_machine(6, (job,), work_s=WORK_S)
+    machine.run(1.0)
+    for name in ("w4", "w5"):
+        worker = machine.world.workers[name]
+        machine.world.leave(worker, machine.now_s, 0.0, says=True)
+    machine.run(2.0)
+    machine.submit(job)
+    machine.run(5 * WORK_S)
+    check_history(machine)
+    check_outcomes(machine)
