Count only tasks that may run towards a spread limit

What callers saw: an accepted job had nothing running for tens of seconds while a task of it had room on every worker (LOST).

Cause: Phase.count_taken counted tasks that had ended as done. A step with more tasks than its workers may have at a time stopped for good once each had taken its share, as soon as workers had left, or where the deployment was too small from the start. A new owner forgot the workers of done tasks and went on, which hid it.

Why it works: the limit bounds what a worker has at a time, which is how the users count. An attempt counts until a proof says that it does not run, so that a worker never has more than the limit.

--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -151,12 +151,12 @@
         return waiting
 
     def count_taken(self) -> dict[str, int]:
-        """Return how many tasks each worker holds towards the spread limit."""
+        """Return how many tasks may run on each worker, for the spread limit."""
         taken: dict[str, int] = {}
         if not self.spec.spread_limit:
             return taken
         for task in self.tasks:
-            if task.worker and (task.is_on_worker or task.state is TaskState.DONE):
+            if task.is_on_worker:
                 taken[task.worker] = taken.get(task.worker, 0) + 1
         return taken
 
--- a/src/larkhoist/jobs/spec.py
+++ b/src/larkhoist/jobs/spec.py
@@ -11,8 +11,8 @@
     """Describe one step of ``count`` equal tasks.
 
     ``estimate_ms`` is the submitter's guess and may be far off. ``spread_limit``
-    bounds the tasks of the step on one worker (0: no bound). A step that ``fills``
-    uses only the processor time that others leave.
+    bounds how many tasks of the step one worker has at a time (0: no bound). A step
+    that ``fills`` uses only the processor time that others leave.
     """
 
     count: int
