Reserve the ports of a cluster against other processes

Cause, suspected: a port was only looked at when it was given, and its instance listens a second later.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -4,12 +4,9 @@
 """
 
 import asyncio
-import itertools
 import json
 import os
-import random
 import signal
-import socket
 import sys
 import time
 from dataclasses import dataclass, field
@@ -18,6 +15,8 @@
 
 import aiohttp
 
+from demo.ports import PortReservations
+
 __all__ = [
     "Answer",
     "Cluster",
@@ -28,9 +27,6 @@
     "wait_for",
 ]
 
-INSTANCE_PORTS = range(20_000, 30_000)
-"""Below the ports that outgoing connections are given (Linux: from 32,768): a port
-that was free may be taken by one of them before the instance listens there."""
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 SERVICE = "main"
@@ -92,7 +88,7 @@
         self.processes: dict[str, Process] = {}
         self.addresses: dict[str, str] = {}
         self.listed: list[dict] = []
-        self._taken: set[int] = set()
+        self._ports = PortReservations()
         self.session: aiohttp.ClientSession | None = None
         self._folder = TemporaryDirectory(prefix="larkhoist-")
         self._settings: dict[str, Path] = {}
@@ -128,6 +124,7 @@
             await asyncio.gather(*(p.handle.wait() for p in self.processes.values()))
         if self.session is not None:
             await self.session.close()
+        self._ports.close()
         self._folder.cleanup()
 
     async def kill(self, name: str) -> None:
@@ -213,12 +210,6 @@
         self.processes[name] = process
         return process
 
-    def take_ports(self, count: int) -> list[int]:
-        """Return free ports that no other instance of the cluster was given."""
-        ports = find_free_ports(count, self._taken)
-        self._taken.update(ports)
-        return ports
-
     async def _start_hall(self, hall: str) -> None:
         workers = self.get_workers(hall)
         if workers:
@@ -227,7 +218,7 @@
         if runners:
             await self._start_runners(hall, runners)
         for name in self.get_instances(hall):
-            http_port, peer_port = self.take_ports(2)
+            http_port, peer_port = self._ports.reserve(2)
             self.addresses[name] = f"127.0.0.1:{http_port}"
             self._write_settings(name, hall, http_port, peer_port)
             self.listed.append(
@@ -428,25 +419,6 @@
     return time.monotonic() - began_s
 
 
-def find_free_ports(count: int, taken: set[int]) -> list[int]:
-    """Return ports that are free now and that no outgoing connection is given.
-
-    What is ``taken`` may still seem free: who was given it may listen later.
-    """
-    candidates = random.sample(INSTANCE_PORTS, len(INSTANCE_PORTS))
-    free = (port for port in candidates if port not in taken and _is_free(port))
-    return list(itertools.islice(free, count))
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
-
-
 def create_cluster(
     shape: ClusterShape, daemon: str = "larkhoist.daemon.main"
 ) -> Cluster:
