Count what workers have at a time in the checks for stand-stills

The checks counted tasks that were done towards the spread limit, as the scheduler did, and so took a step that stood for good as one without room. By the users' rules the limit bounds what a worker has at a time: of a job of which nothing runs, nothing is taken on any worker. Only a lasting task counts for itself beside others of its step; the checks left these out and now look at each, from 6 s after its last run.

test_a_spread_limit_counts_what_is_done asserted the fault. In its place, a step whose tasks are done on each worker up to the limit does stand still if the rest is not started, and room beyond the limit does not count.

--- a/lab/progress.py
+++ b/lab/progress.py
@@ -13,6 +13,8 @@
 
 __all__ = ["IdleStep", "StandStill", "StandStills", "WorkerRoom", "could_run"]
 
+StillKey = tuple[str, int] | tuple[str, int, int]
+
 LONGEST_S = 3.0
 """For so long work may have nothing running though it could; from the users' rules."""
 TWICE = 2
@@ -40,23 +42,33 @@
 class IdleStep:
     """Hold a step whose turn has come, of a job of which nothing runs.
 
-    ``taken`` counts by worker the tasks that its spread limit counts.
+    A task that lasts counts for itself, by its index ``task``, whether others of its
+    job run or not. ``taken`` counts by worker the tasks of the step that run there:
+    the spread limit bounds what a worker has at a time.
     """
 
     job: str
     step: int
     spec: StepSpec
     taken: dict[str, int] = field(default_factory=dict)
+    task: int | None = None
+
+    @property
+    def key(self) -> StillKey:
+        """Return by what a stand-still is known."""
+        whole = (self.job, self.step)
+        return whole if self.task is None else (*whole, self.task)
 
 
 @dataclass(frozen=True, slots=True)
 class StandStill:
-    """Tell that a step stood still, up to ``until_s``."""
+    """Tell that a step, or a task of it that lasts, stood still, up to ``until_s``."""
 
     job: str
     step: int
     since_s: float
     until_s: float
+    task: int | None = None
 
     @property
     def lasted_s(self) -> float:
@@ -81,8 +93,8 @@
         self._longest_s = longest_s
         self._any_rack = any_rack
         self._however_full = however_full
-        self._since_s: dict[tuple[str, int], float] = {}
-        self.found: dict[tuple[str, int], StandStill] = {}
+        self._since_s: dict[StillKey, float] = {}
+        self.found: dict[StillKey, StandStill] = {}
 
     @property
     def longest_s(self) -> float:
@@ -94,21 +106,21 @@
     ) -> None:
         """Take what is to be seen now."""
         view = _View(rooms)
-        standing = {(one.job, one.step) for one in idle if self._could_run(one, view)}
-        for key in self._since_s.keys() - standing:
+        standing = {one.key: one for one in idle if self._could_run(one, view)}
+        for key in self._since_s.keys() - standing.keys():
             del self._since_s[key]
-        for key in standing:
+        for key, one in standing.items():
             since_s = self._since_s.setdefault(key, now_s)
             if now_s - since_s > self._longest_s:
-                self._keep(StandStill(*key, since_s, now_s))
+                still = StandStill(one.job, one.step, since_s, now_s, one.task)
+                self._keep(key, still)
 
     def _could_run(self, idle: IdleStep, view: "_View") -> bool:
         if self._however_full:
             return view.has_room_twice(idle)
         return view.could_run(idle, any_rack=self._any_rack)
 
-    def _keep(self, still: StandStill) -> None:
-        key = (still.job, still.step)
+    def _keep(self, key: StillKey, still: StandStill) -> None:
         known = self.found.get(key)
         if known is None or still.lasted_s > known.lasted_s:
             self.found[key] = still
--- a/lab/replay.py
+++ b/lab/replay.py
@@ -240,7 +240,7 @@
         self._scheduler.take_start_answer(order.task, order.attempt, None, False, now_s)
 
     def _note_end(self, worker: str, ended: EndedTask, now_s: float) -> None:
-        self._watch.note_end(worker, ended)
+        self._watch.note_end(ended)
         self._events.add(now_s + REPORT_DELAY_S, _End(worker, ended))
 
     def _ask_decision(self, now_s: float) -> None:
--- a/lab/watch.py
+++ b/lab/watch.py
@@ -1,6 +1,6 @@
 """Watch in a replayed day what stands still, from its workers and its jobs alone."""
 
-from collections import Counter, defaultdict
+from collections import defaultdict
 from collections.abc import Iterable, Iterator
 
 from lab.arrivals import Arrival
@@ -22,7 +22,7 @@
         self._workers = workers
         self._watched = list(watched)
         self._open: dict[str, Arrival] = {}
-        self._done: dict[str, dict[str, str]] = defaultdict(dict)
+        self._done: dict[str, set[str]] = defaultdict(set)
 
     def open_job(self, arrival: Arrival) -> None:
         """Take in a job that has come."""
@@ -32,11 +32,11 @@
         """Leave out a job of which nothing more is asked."""
         self._open.pop(job_id, None)
 
-    def note_end(self, worker: str, ended: EndedTask) -> None:
+    def note_end(self, ended: EndedTask) -> None:
         """Take in what a worker lists as ended."""
         if ended.kind is EndKind.DONE:
             phase, _, _ = ended.task.rpartition(".")
-            self._done[phase][ended.task] = worker
+            self._done[phase].add(ended.task)
 
     def look(self, listed: Iterable[ListedTaskWorker], now_s: float) -> None:
         """Look at all workers that are sound and at all jobs without a run.
@@ -66,14 +66,13 @@
             for step, spec in enumerate(steps):
                 if is_done[step] or not all(is_done[one] for one in spec.depends_on):
                     continue
-                taken = Counter(self._get_done(job_id, step).values())
-                yield IdleStep(job_id, step, spec, taken)
+                yield IdleStep(job_id, step, spec)
 
     def _is_done(self, job_id: str, step: int) -> bool:
         spec = self._open[job_id].job.steps[step]
         needed = 1 if spec.gang else spec.count
         return len(self._get_done(job_id, step)) >= needed
 
-    def _get_done(self, job_id: str, step: int) -> dict[str, str]:
-        """Return the tasks of a step that are done, with their workers."""
-        return self._done.get(f"{job_id}.0.{step}", {})
+    def _get_done(self, job_id: str, step: int) -> set[str]:
+        """Return the tasks of a step that are done."""
+        return self._done.get(f"{job_id}.0.{step}", set())
--- a/tests/fleet/progress.py
+++ b/tests/fleet/progress.py
@@ -14,6 +14,8 @@
 
 CALM_S = 4.0
 """How long it has to be calm before work may not stand still; from the users' rules."""
+LASTING_REST_S = 6.0
+"""How long after its last run a lasting task may rest; from the users' rules."""
 
 
 @dataclass(slots=True)
@@ -79,8 +81,9 @@
     idle = [
         step
         for job_id, entry in machine.book.entries.items()
-        if entry.outcome is None and not entry.cancelled and job_id not in running
+        if entry.outcome is None and not entry.cancelled
         for step in _list_due(machine, job_id, by_job.get(job_id, []))
+        if step.task is not None or job_id not in running
     ]
     stills.look(machine.now_s, rooms, idle)
 
@@ -104,17 +107,32 @@
     is_done = []
     for step, spec in enumerate(job.steps):
         tasks = {f"{job_id}.0.{step}.{index}" for index in range(spec.count)}
-        is_done.append(bool(tasks & done) if spec.gang else tasks <= done)
+        ended = bool(tasks & done) if spec.gang else tasks <= done
+        is_done.append(ended and not spec.long_running)
+    due: list[IdleStep] = []
+    for step, spec in enumerate(job.steps):
+        if is_done[step] or not all(is_done[before] for before in spec.depends_on):
+            continue
+        if spec.long_running:
+            due += _list_resting(machine, job_id, step, runs)
+        else:
+            due.append(IdleStep(job_id, step, spec))
+    return due
+
+
+def _list_resting(
+    machine: FleetMachine, job_id: str, step: int, runs: list[Run]
+) -> list[IdleStep]:
+    """Return the lasting tasks of a step that have rested for long enough."""
+    spec = machine.jobs[job_id].steps[step]
+    of_step = [run for run in runs if int(run.task.split(".")[2]) == step]
+    running = [run for run in of_step if run.ended_s is None]
+    taken = Counter(run.worker for run in running)
+    awake = {run.task for run in running}
+    rested_s = machine.now_s - LASTING_REST_S
+    awake |= {run.task for run in of_step if (run.ended_s or rested_s) > rested_s}
     return [
-        IdleStep(job_id, step, spec, _count_taken(step, runs))
-        for step, spec in enumerate(job.steps)
-        if not is_done[step] and all(is_done[before] for before in spec.depends_on)
+        IdleStep(job_id, step, spec, taken, index)
+        for index in range(spec.count)
+        if f"{job_id}.0.{step}.{index}" not in awake
     ]
-
-
-def _count_taken(step: int, runs: list[Run]) -> dict[str, int]:
-    return Counter(
-        run.worker
-        for run in runs
-        if int(run.task.split(".")[2]) == step and run.kind is EndKind.DONE
-    )
--- a/tests/fleet/test_spread_limits.py
+++ b/tests/fleet/test_spread_limits.py
@@ -2,9 +2,11 @@
 
 import pytest
 
+from larkhoist.fleet.effects import Round
 from larkhoist.jobs.spec import StepSpec
 from tests.fleet.cases import make_job, make_machine
 from tests.fleet.checks import check_history, check_outcomes
+from tests.fleet.progress import run_and_look
 
 WORK_S = 2.0
 
@@ -43,3 +45,26 @@
     machine.run(5 * WORK_S)
     check_history(machine)
     check_outcomes(machine)
+
+
+def test_no_step_wider_than_its_spread_limit_stands_still():
+    job = make_job(1, StepSpec(count=8, accelerators=1, spread_limit=1))
+    machine = make_machine(6, (job,), work_s=WORK_S)
+    machine.submit(job)
+    assert run_and_look(machine, 10.0).found == {}
+
+
+def test_lasting_tasks_are_seen_to_stand_still_one_by_one():
+    job = make_job(1, StepSpec(count=3, accelerators=1, long_running=True))
+    machine = make_machine(4, (job,), work_s=100.0)
+    machine.submit(job)
+    machine.run(1.0)
+    lost = next(run for run in machine.world.history if run.task.endswith(".1"))
+    others = [name for name in machine.world.workers if name != lost.worker]
+    machine.world.kill(lost.sim_worker, machine.now_s)
+    machine.owner.scheduler.decide = lambda now_s, now_ms: Round()
+    stills = run_and_look(machine, 9.5)
+    key = (job.job_id, 0, 1)
+    assert len(others) == 3
+    assert key in stills.found
+    assert stills.found[key].since_s >= lost.ended_s + 6.0
--- a/tests/lab/test_watch.py
+++ b/tests/lab/test_watch.py
@@ -40,7 +40,7 @@
         self.now_s = 0.0
 
     def report(self, worker: str, ended: EndedTask, now_s: float) -> None:
-        self.watch.note_end(worker, ended)
+        self.watch.note_end(ended)
 
     def submit(self, number: int, *steps: StepSpec) -> str:
         terms = JobTerms("service")
@@ -55,9 +55,9 @@
         name = f"{job_id}.{task}"
         self.workers.start(make_start(name, worker), self.now_s)
 
-    def list_done(self, job_id: str, worker: str, task: str = "0.0.0") -> None:
+    def list_done(self, job_id: str, task: str = "0.0.0") -> None:
         ended = EndedTask(1, f"{job_id}.{task}", 1, EndKind.DONE, "")
-        self.watch.note_end(worker, ended)
+        self.watch.note_end(ended)
 
     def look(self, seconds: float) -> None:
         for _ in range(round(seconds / WATCH_S)):
@@ -154,21 +154,31 @@
     second = StepSpec(count=1, cpu_milli=8_000, accelerators=2, depends_on=(0,))
     job_id = day.submit(1, first, second)
     day.start(job_id, "w0")
-    day.list_done(job_id, "w1", "0.0.1")
+    day.list_done(job_id, "0.0.1")
     day.workers.take_crash("w0", day.now_s)
     day.listed.append(make_listed("w0.1"))
     day.look(5.0)
     assert list(day.full_stills.found) == [(job_id, 0)]
-    day.list_done(job_id, "w1", "0.0.0")
+    day.list_done(job_id, "0.0.0")
     day.look(5.0)
     assert list(day.full_stills.found) == [(job_id, 0), (job_id, 1)]
 
 
-def test_a_spread_limit_counts_what_is_done():
-    day = WatchedDay(workers=1)
-    spec = StepSpec(count=4, cpu_milli=1_000, accelerators=1, spread_limit=2)
+@pytest.mark.parametrize(("workers", "limit"), [(1, 2), (2, 1)])
+def test_tasks_that_are_done_take_nothing_of_a_spread_limit(workers, limit):
+    day = WatchedDay(workers)
+    spec = StepSpec(count=4, cpu_milli=1_000, accelerators=1, spread_limit=limit)
     job_id = day.submit(1, spec)
-    day.list_done(job_id, "w0")
+    day.list_done(job_id, "0.0.0")
+    day.list_done(job_id, "0.0.1")
+    day.look(5.0)
+    assert list(day.full_stills.found) == [(job_id, 0)]
+
+
+def test_room_beyond_a_spread_limit_does_not_count():
+    day = WatchedDay(workers=1)
+    spec = StepSpec(count=4, cpu_milli=1_000, accelerators=1, spread_limit=1)
+    day.submit(1, spec)
     day.look(5.0)
     assert day.full_stills.found == {}
 
