--- a/lab/arrivals.py
+++ b/lab/arrivals.py
@@ -132,6 +132,9 @@
     spread_limit = 0
     if chance.random() < kind.spread_limit:
         spread_limit = chance.randint(1, 3)
+    label = ""
+    if kind.label and chance.random() < kind.label:
+        label = get_rack(plan, plan.per_rack * chance.randrange(plan.racks))
     return StepSpec(
         count=count,
         cpu_milli=kind.cpu_milli,
@@ -141,6 +144,7 @@
         checkpoints=checkpoints,
         gang=kind.gang,
         same_rack=same_rack,
+        label=label,
         data_rack=data_rack,
         spread_limit=spread_limit,
     )
--- a/lab/kinds.py
+++ b/lab/kinds.py
@@ -12,6 +12,7 @@
     "FailingWorkers",
     "Fault",
     "JobKind",
+    "LeavingWorkers",
     "SlowWorkers",
 ]
 
@@ -50,6 +51,7 @@
     checkpoints: float = 0.0
     data_rack: float = 0.0
     spread_limit: float = 0.0
+    label: float = 0.0
     cancelled: float = 0.0
     hopeless: float = 0.0
     fails: float = 0.0
@@ -94,7 +96,21 @@
     share: float
 
 
-Fault = SlowWorkers | FailingWorkers | CrashingWork
+@dataclass(frozen=True, slots=True)
+class LeavingWorkers:
+    """Have a share of the workers leave for good, from ``at_s`` on and one by one.
+
+    Each says so, serves on for ``serves_on_s``, so that what runs there may end, and
+    ends itself.
+    """
+
+    at_s: float
+    for_s: float
+    share: float
+    serves_on_s: float = 16.0
+
+
+Fault = SlowWorkers | FailingWorkers | CrashingWork | LeavingWorkers
 
 
 @dataclass(frozen=True, slots=True)
--- a/lab/plans.py
+++ b/lab/plans.py
@@ -2,7 +2,15 @@
 
 from dataclasses import replace
 
-from lab.kinds import Burst, CrashingWork, DayPlan, FailingWorkers, JobKind, SlowWorkers
+from lab.kinds import (
+    Burst,
+    CrashingWork,
+    DayPlan,
+    FailingWorkers,
+    JobKind,
+    LeavingWorkers,
+    SlowWorkers,
+)
 from larkhoist.ports.fleet import Resources
 
 __all__ = ["PLANS", "make_plan"]
@@ -199,9 +207,31 @@
     load=1.1,
     bursts=(Burst("preview", 6.0, 3.6, 2.2), Burst("proof", 4.0, 6.0, 2.2)),
 )
+DEPARTURES = replace(
+    CALM,
+    name="departures",
+    kinds=(
+        replace(PREVIEW, width=6.0, widest=12, spread_limit=0.3),
+        replace(PROOF, width=4.0, widest=8, spread_limit=0.3),
+        replace(CHECK, spread_limit=0.6, label=0.2),
+    ),
+    per_rack=6,
+    load=0.45,
+    faults=(LeavingWorkers(2.0, 8.0, 0.6),),
+)
+"""Steps grow wider than the workers that stay may hold at a time."""
 PLANS = {
     plan.name: plan
-    for plan in (CALM, BURSTS, FAULTS, CRASHES, SCARCE, SHIFTED, SHIFTED_BURSTS)
+    for plan in (
+        CALM,
+        BURSTS,
+        FAULTS,
+        CRASHES,
+        SCARCE,
+        SHIFTED,
+        SHIFTED_BURSTS,
+        DEPARTURES,
+    )
 }
 
 
--- a/lab/replay.py
+++ b/lab/replay.py
@@ -10,7 +10,7 @@
 from lab.progress import StandStills
 from lab.result import DayResult, account
 from lab.watch import DayWatch
-from lab.workers import LabWorkers, StopOver, WorkerCrash, WorkOver
+from lab.workers import LabWorkers, StopOver, WorkerCrash, WorkerLeaves, WorkOver
 from larkhoist.codes import Code
 from larkhoist.fleet.effects import Round, StartTask, StopTask
 from larkhoist.fleet.policy import FleetPolicy
@@ -34,6 +34,8 @@
 """How soon the owner decides again at the earliest: a step and the rest after it."""
 LOOK_S = 0.25
 KEEP_S = 600.0
+LEASE_S = 10.0
+"""After which nothing is taken to run on a worker that has gone for good."""
 SAMPLE_S = 0.5
 WATCH_S = 0.25
 """How often to look for what stands still: a twelfth of the time that is too long."""
@@ -75,6 +77,11 @@
     worker: str
 
 
+@dataclass(frozen=True, slots=True)
+class _Gone:
+    worker: str
+
+
 @dataclass(frozen=True, slots=True)
 class _Back:
     worker: str
@@ -113,6 +120,7 @@
         self._failed: set[str] = set()
         self._given_up: set[str] = set()
         self._listed: dict[str, ListedTaskWorker] = {}
+        self._gone_lease_end_s: dict[str, float] = {}
         self._inbox: list[_End] = []
         self._decides_s: float | None = None
         self._decided_s = float("-inf")
@@ -189,6 +197,10 @@
                     self._scheduler.note_heard(worker, now_s)
             case _Back(worker):
                 self._replace_worker(worker, now_s)
+            case WorkerLeaves(worker, serves_on_s):
+                self._begin_departure(worker, serves_on_s, now_s)
+            case _Gone(worker):
+                self._end_departure(worker, now_s)
             case _Stop(order):
                 self._workers.stop(order, now_s)
                 return
@@ -235,6 +247,24 @@
         self._scheduler.note_replaced(worker, now_s)
         self._scheduler.note_heard(name, now_s)
 
+    def _begin_departure(self, worker: str, serves_on_s: float, now_s: float) -> None:
+        """List a worker as leaving, unless it has crashed before."""
+        if worker not in self._listed or self._workers.is_dead(worker):
+            return
+        self._workers.note_leaving(worker)
+        self._listed[worker] = dataclasses.replace(
+            self._listed[worker], leaving=True, remaining_s=serves_on_s
+        )
+        self._scheduler.take_list(self._listed.values(), now_s)
+        self._events.add(now_s + serves_on_s, _Gone(worker))
+
+    def _end_departure(self, worker: str, now_s: float) -> None:
+        self._workers.take_crash(worker, now_s)
+        self._gone_lease_end_s[worker] = now_s + LEASE_S
+        self._listed.pop(worker, None)
+        self._scheduler.take_list(self._listed.values(), now_s)
+        self._scheduler.note_silent(worker, now_s)
+
     def _note_begun(self, order: StartTask, now_s: float) -> None:
         self._began_s.setdefault(order.task.partition(".")[0], now_s)
         self._scheduler.take_start_answer(order.task, order.attempt, None, False, now_s)
@@ -268,7 +298,8 @@
 
     def _keep_leases(self, now_s: float) -> None:
         for worker in self._scheduler.state.workers.values():
-            worker.lease_end_s = now_s + KEEP_S
+            renewed_s = now_s + KEEP_S
+            worker.lease_end_s = self._gone_lease_end_s.get(worker.name, renewed_s)
 
     def _carry_out(self, decided: Round, now_s: float) -> None:
         for record in decided.records:
--- a/lab/workers.py
+++ b/lab/workers.py
@@ -10,12 +10,17 @@
 
 from lab.arrivals import Arrival
 from lab.events import Events
-from lab.kinds import CrashingWork, DayPlan, FailingWorkers, SlowWorkers
+from lab.kinds import (
+    DayPlan,
+    FailingWorkers,
+    LeavingWorkers,
+    SlowWorkers,
+)
 from larkhoist.fleet.effects import StartTask, StopTask
 from larkhoist.ports.fleet import Resources
 from larkhoist.ports.task_worker import EndedTask, EndKind
 
-__all__ = ["LabWorkers", "Waste", "WorkerCrash"]
+__all__ = ["LabWorkers", "Waste", "WorkerCrash", "WorkerLeaves"]
 
 CRASHES_AFTER_S = 0.01
 """How soon work that crashes its worker does so, as seen on the users' machines."""
@@ -74,6 +79,14 @@
     worker: str
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerLeaves:
+    """Tell that a worker says that it leaves for good, and how long it serves on."""
+
+    worker: str
+    serves_on_s: float
+
+
 @dataclass(slots=True)
 class Waste:
     """Count core-seconds of work that was thrown away, and stops.
@@ -113,13 +126,25 @@
         self._speeds = [paces.choice(plan.speeds) for _ in range(plan.workers)]
         self._dead: set[str] = set()
         self._begun: set[str] = set()
+        self._leaving: set[str] = set()
+        self._plan_departures(seed)
         faulty = random.Random(f"faults {seed}")
         self._hit = [
             (fault, {n for n in range(plan.workers) if faulty.random() < fault.share})
             for fault in plan.faults
-            if not isinstance(fault, CrashingWork)
+            if isinstance(fault, SlowWorkers | FailingWorkers)
         ]
 
+    def _plan_departures(self, seed: int) -> None:
+        chance = random.Random(f"departures {seed}")
+        for fault in self._plan.faults:
+            if not isinstance(fault, LeavingWorkers):
+                continue
+            workers = self._plan.workers
+            for number in chance.sample(range(workers), round(fault.share * workers)):
+                at_s = fault.at_s + chance.uniform(0.0, fault.for_s)
+                self._events.add(at_s, WorkerLeaves(f"w{number}", fault.serves_on_s))
+
     def know(self, arrival: Arrival) -> None:
         """Take in what a job's tasks really take."""
         self._arrivals[arrival.job.job_id] = arrival
@@ -170,8 +195,13 @@
         return worker in self._dead
 
     def is_sound(self, worker: str, now_s: float) -> bool:
-        """Tell whether a worker lives and does not fail all that it starts."""
-        return worker not in self._dead and not self._is_failing(worker, now_s)
+        """Tell whether a worker lives, stays and does not fail all that it starts."""
+        goes = worker in self._dead or worker in self._leaving
+        return not goes and not self._is_failing(worker, now_s)
+
+    def note_leaving(self, worker: str) -> None:
+        """Take in that a worker leaves for good."""
+        self._leaving.add(worker)
 
     def iter_runs(self) -> Iterator[tuple[str, str, Resources]]:
         """Yield the job, the worker and the need of each run."""
@@ -187,11 +217,11 @@
         return begun
 
     def take_crash(self, worker: str, now_s: float) -> bool:
-        """End all that runs on a worker, unheard; False where it had crashed before."""
+        """End a worker and all that runs there, unheard; False where it had ended."""
         if worker in self._dead:
             return False
         self._dead.add(worker)
-        self.waste.crashes += 1
+        self.waste.crashes += worker not in self._leaving
         for key, team in list(self._teams.items()):
             lost = [run for run in team.runs.values() if run.worker == worker]
             if lost:
--- a/tests/lab/test_watch.py
+++ b/tests/lab/test_watch.py
@@ -260,3 +260,24 @@
     # claims them: what can't be stopped cheaply has to begin all the same.
     result = replay(make_plan("scarce", 24), seed, POLICY)
     assert result.stills.found == {}
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_workers_that_leave_for_good_do_not_come_back(seed):
+    events = Events()
+    plan = make_plan("departures", 24)
+    workers = LabWorkers(plan, seed, events, lambda *told: None)
+    leaving = [events.pop() for _ in range(round(0.6 * 24))]
+    assert not events
+    for at_s, event in leaving:
+        assert 2.0 <= at_s <= 10.0
+        assert workers.is_sound(event.worker, at_s)
+        workers.note_leaving(event.worker)
+        assert not workers.is_sound(event.worker, at_s)
+    assert len({event.worker for _, event in leaving}) == len(leaving)
+
+
+@pytest.mark.parametrize("seed", [0, 2, 4])
+def test_no_work_stands_still_after_workers_have_left_for_good(seed):
+    result = replay(make_plan("departures", 24), seed, POLICY)
+    assert result.stills.found == {}
