Check that no worker has more tasks of a step than its spread limit

Nothing in the simulated fleet's checks would have seen an owner that starts tasks beyond a spread limit, which callers count as a start in the wrong place (ROUTE). check_history now compares the runs of a step that overlap on one incarnation of a worker with the limit. As elsewhere there, starts sent before a worker restarted are left out; late ones are not.

Measured: with Phase.count_taken counting nothing the new test sees it.

--- a/tests/fleet/checks.py
+++ b/tests/fleet/checks.py
@@ -40,6 +40,8 @@
         by_phase[run.task.rpartition(".")[0]].append(run)
     for phase in by_phase.keys() & machine.world.gangs.keys():
         _check_gang(phase, by_phase[phase])
+    for phase, runs in by_phase.items():
+        _check_spread(machine, phase, runs)
 
 
 def check_outcomes(machine: FleetMachine) -> None:
@@ -104,6 +106,26 @@
             assert not known_done, f"gang {phase} runs again after its end"
 
 
+def _check_spread(machine: FleetMachine, phase: str, runs: list[Run]) -> None:
+    """Check that no worker has more tasks of a step at a time than it may."""
+    job_id, _, step = phase.split(".")
+    limit = machine.jobs[job_id].steps[int(step)].spread_limit
+    if not limit:
+        return
+    by_worker: dict[int, list[Run]] = defaultdict(list)
+    for run in runs:
+        by_worker[id(run.sim_worker)].append(run)
+    for on_worker in by_worker.values():
+        for run in on_worker:
+            at_once = sum(_runs_at(other, run.began_s) for other in on_worker)
+            message = f"{run.worker} has {at_once} tasks of {phase}, {limit} at most"
+            assert at_once <= limit, message
+
+
+def _runs_at(run: Run, at_s: float) -> bool:
+    return run.began_s <= at_s and (run.ended_s is None or run.ended_s > at_s)
+
+
 def _check_budget(machine: FleetMachine, task: str, runs: list[Run]) -> None:
     job = machine.jobs[task.split(".")[0]]
     failed = sum(run.kind is EndKind.FAILED and run.noted for run in runs)
--- a/tests/fleet/test_spread_limits.py
+++ b/tests/fleet/test_spread_limits.py
@@ -3,6 +3,7 @@
 import pytest
 
 from larkhoist.fleet.effects import Round
+from larkhoist.fleet.task import Phase
 from larkhoist.jobs.spec import StepSpec
 from tests.fleet.cases import make_job, make_machine
 from tests.fleet.checks import check_history, check_outcomes
@@ -68,3 +69,13 @@
     assert len(others) == 3
     assert key in stills.found
     assert stills.found[key].since_s >= lost.ended_s + 6.0
+
+
+def test_more_tasks_at_a_time_than_the_limit_are_seen(monkeypatch):
+    monkeypatch.setattr(Phase, "count_taken", lambda phase: {})
+    job = make_job(1, StepSpec(count=3, accelerators=1, spread_limit=1))
+    machine = make_machine(2, (job,), work_s=WORK_S)
+    machine.submit(job)
+    machine.run(WORK_S)
+    with pytest.raises(AssertionError, match="has 2 tasks of .* 1 at most"):
+        check_history(machine)
