Play workers that leave for good beside limits, racks and labels

In all drawn plays a new worker came up for each that went, and spread limits were 0 or 2 with at most five tasks on six workers, so that no step was ever wider than what the workers may hold of it at a time.

The draws of the existing plays are the same; a play in which no worker is up goes on.

--- a/tests/fleet/disturbances.py
+++ b/tests/fleet/disturbances.py
@@ -41,6 +41,7 @@
         self._unlisted_s: dict[str, float] = {}
         self._born_s: dict[str, float] = {}
         self._down_since_s = float("inf")
+        self._gone: set[str] = set()
 
     def step(self) -> None:
         """Bring about what is due, and perhaps something new."""
@@ -67,9 +68,22 @@
         self._listed_again_s = {}
         machine.replace_owner()
 
+    def remove_place(self, address: str, *, crashes: bool) -> None:
+        """Have the worker at an address go, and none come up there again."""
+        self._gone.add(address)
+        worker = self._machine.world.find_at(address)
+        if worker is None or worker.ends_s < float("inf"):
+            return
+        if crashes:
+            self._crash(worker)
+        else:
+            self._leave(worker)
+
     def _disturb(self) -> None:
         machine, chance = self._machine, self._chance
         up = [w for w in machine.world.workers.values() if not w.dead]
+        if not up:
+            return
         worker = chance.choice(up)
         match chance.randrange(23):
             case 0 | 1:
@@ -144,7 +158,7 @@
             return
         up = [w for w in self._machine.world.workers.values() if not w.dead]
         share = self._restart_chance.choice((0.0, 0.0, 0.3, 0.6))
-        count = min(max(1, int(len(up) * share)), len(up) - 1)
+        count = max(0, min(max(1, int(len(up) * share)), len(up) - 1))
         for worker in self._restart_chance.sample(up, count):
             self._crash(worker)
 
@@ -175,6 +189,8 @@
         for worker in list(world.workers.values()):
             if not worker.dead or world.find_at(worker.address) is not None:
                 continue
+            if worker.address in self._gone:
+                continue
             born_s = self._born_s.get(worker.address)
             if born_s is None or born_s < worker.dead_since_s:
                 pause_s = self._chance.choice((0.1, 0.5, 3.0))
