Add a failing test of a gang that waits for its rack

A gang of whole workers that asks for one rack has nothing running while exactly half of its service's accelerators is used and the other half holds it twice, but in no one rack: Leeway.any_rack asks that less than half of everything be used.

--- a/tests/fleet/test_leeway.py
+++ b/tests/fleet/test_leeway.py
@@ -127,6 +127,20 @@
     assert bool(list_begun_s(machine, job)) is (taken == 1)
 
 
+def test_a_gang_stood_still_for_its_rack_where_exactly_half_was_used():
+    # Half of the workers are full, two in each rack; the others hold the gang twice.
+    load = make_job(1, replace(WHOLE, count=6))
+    gang = make_job(2, replace(WHOLE, count=3, gang=True, same_rack=True))
+    machine = make_machine(12, (load, gang), work_s=30.0)
+    for number, worker in enumerate(machine.world.workers.values()):
+        worker.rack = f"r{number % 3}"
+    machine.submit(load)
+    machine.run(1.0)
+    machine.submit(gang)
+    assert run_and_look(machine, 6.0).found == {}
+    assert list_begun_s(machine, gang)
+
+
 def test_what_is_reserved_for_a_gang_is_not_taken_by_narrow_work():
     # Memory and processor are never half used by such tasks.
     narrow = replace(NARROW, count=120)
