Let work leave its rack where exactly half is used

What callers saw: an accepted gang that asks for one rack had nothing running for 35 s while as many workers were free, in several racks, as it needs twice (LOST).

Cause: the preference for one rack ended only while less than half of each resource that the step needs was used. The users count a stand-still up to exactly half: whole workers are handed out, so that half is met often where few workers are left.

StandStills took exactly half as too much as well, and a test of it said so. It now counts up to half; the test uses a little more than half, and a new one exactly half.

--- a/lab/progress.py
+++ b/lab/progress.py
@@ -154,14 +154,14 @@
         return most >= _count_twice(idle)
 
     def _list_under_half(self, need: Resources) -> list[bool]:
-        """Return of each resource that is needed whether under half is in use."""
+        """Return of each resource that is needed whether at most half is in use."""
         used, total = self._used, self._total
         resources = (
             (need.cpu_milli, used.cpu_milli, total.cpu_milli),
             (need.memory_mb, used.memory_mb, total.memory_mb),
             (need.accelerators, used.accelerators, total.accelerators),
         )
-        return [have * TWICE < of for wanted, have, of in resources if wanted]
+        return [have * TWICE <= of for wanted, have, of in resources if wanted]
 
     def _count_by_rack(self, idle: IdleStep) -> Counter[str]:
         if idle.spec.spread_limit:
@@ -179,7 +179,7 @@
 
 
 def could_run(idle: IdleStep, rooms: Iterable[WorkerRoom]) -> bool:
-    """Tell whether there is room twice over while under half of the room is in use.
+    """Tell whether there is room twice over while at most half of the room is in use.
 
     The users do not say which of processor, memory and accelerators counts: one of them
     is enough, but for room in other racks than those that the step was asked to run in,
--- a/src/larkhoist/fleet/leeway.py
+++ b/src/larkhoist/fleet/leeway.py
@@ -34,7 +34,7 @@
     """Hold whether a phase has waited for as long as it may, and what room there is.
 
     ``fits_twice`` tells that there is room for one task, or the gang, twice over,
-    ``some_idle`` that under half is used of something that it needs, ``all_idle`` of
+    ``some_idle`` that at most half is used of something that it needs, ``all_idle`` of
     everything. A worker in quarantine is tried that has failed nothing for ``calm_s``.
     """
 
@@ -84,7 +84,7 @@
         (need.memory_mb, used.memory_mb, total.memory_mb),
         (need.accelerators, used.accelerators, total.accelerators),
     )
-    idle = [have < policy.idle_share * of for wanted, have, of in needed if wanted]
+    idle = [have <= policy.idle_share * of for wanted, have, of in needed if wanted]
     fits_twice = fitting >= ROOM_OVER * count_together(phase)
     return Leeway(True, fits_twice, any(idle), all(idle), calm_s)
 
--- a/tests/lab/test_watch.py
+++ b/tests/lab/test_watch.py
@@ -112,11 +112,21 @@
 
 
 def test_the_share_in_use_counts_by_the_rule_alone():
+    over_half = StepSpec(count=1, cpu_milli=16_001, accelerators=5)
+    day = WatchedDay(workers=1)
+    day.start(day.submit(1, over_half), "w0")
+    waiting = day.submit(2, StepSpec(count=1, cpu_milli=7_999, accelerators=1))
+    day.look(5.0)
+    assert day.stills.found == {}
+    assert list(day.full_stills.found) == [(waiting, 0)]
+
+
+def test_exactly_half_in_use_is_not_too_much():
     day = WatchedDay(workers=1)
     day.start(day.submit(1, HALF), "w0")
     waiting = day.submit(2, QUARTER)
     day.look(5.0)
-    assert day.stills.found == {}
+    assert list(day.stills.found) == [(waiting, 0)]
     assert list(day.full_stills.found) == [(waiting, 0)]
 
 
