Add tests of work on fleets that have shrunk for good

Five faults, listed as red: a failed search for a rack stands for steps that want none; workers in quarantine and reserved workers stay closed to a job with nothing running where over half is used; full workers that leave count as used room; a reservation ignores the spread limit. The other cases pass and guard guarantees and past peaks beyond what is left, gangs that failed on every worker, gangs as wide as what is left and plans on workers that leave.

--- /dev/null
+++ b/tests/fleet/test_shrunken_fleets.py
@@ -0,0 +1,216 @@
+"""Have work start on the room that is left after workers have left for good.
+
+Limits, shares and estimates that were made for the whole fleet must not keep work
+from room that is free twice over.
+"""
+
+from collections.abc import Iterable
+
+import pytest
+from msgspec.structs import replace
+
+from larkhoist.jobs.spec import StagedJob, StepSpec
+from tests.fleet.cases import make_job, make_machine
+from tests.fleet.machine import FleetMachine
+from tests.fleet.test_reservations import get_reserved
+
+LONGEST_S = 3.0
+CALM_S = 4.0
+WORK_S = 60.0
+ONE = StepSpec(count=1, accelerators=1)
+WHOLE = StepSpec(count=1, accelerators=8)
+
+
+def leave(machine: FleetMachine, names: Iterable[str], extra_s: float = 0.0) -> None:
+    """Have workers say that they leave, and end after they have served on."""
+    for name in names:
+        worker = machine.world.workers[name]
+        machine.world.leave(worker, machine.now_s, extra_s, says=True)
+
+
+def name_workers(first: int, end: int) -> list[str]:
+    return [f"w{number}" for number in range(first, end)]
+
+
+def fill(machine: FleetMachine, job: StagedJob) -> None:
+    """Submit a load and see all of it run."""
+    machine.submit(job)
+    machine.run(1.0)
+    assert count_running(machine, job) == job.steps[0].count
+
+
+def count_running(machine: FleetMachine, job: StagedJob) -> int:
+    runs = (run for w in machine.world.workers.values() for run in w.runs.values())
+    return sum(run.task.startswith(job.job_id) for run in runs)
+
+
+def get_wait_s(machine: FleetMachine, job: StagedJob) -> float:
+    """Return how long a job that comes now waits for its first run."""
+    machine.submit(job)
+    since_s = machine.now_s
+    machine.run(LONGEST_S + 1.0)
+    began = [r.began_s for r in machine.world.history if r.task.startswith(job.job_id)]
+    return min(began, default=float("inf")) - since_s
+
+
+def quarantine(machine: FleetMachine, names: Iterable[str]) -> None:
+    held = machine.owner.scheduler.state.quarantine
+    for name in names:
+        for failed in ("a", "b", "b"):
+            held.note_failure(name, failed, 100, machine.now_s)
+
+
+def test_a_step_that_prefers_racks_does_not_hold_up_a_step_without_preference():
+    load = make_job(1, StepSpec(count=4, accelerators=8, data_rack="r0"))
+    first = make_job(2, StepSpec(count=12, accelerators=1, same_rack=True))
+    job = make_job(3, ONE)
+    machine = make_machine(8, (load, first, job), work_s=WORK_S)
+    machine.run(1.0)
+    leave(machine, name_workers(5, 8))
+    machine.run(5.0)
+    fill(machine, load)
+    machine.submit(first)
+    assert get_wait_s(machine, job) <= 0.5
+
+
+@pytest.mark.parametrize("left", [3, 5, 7])
+def test_quarantined_workers_are_used_when_the_rest_of_the_fleet_is_full(left):
+    load = make_job(1, StepSpec(count=left - 1, accelerators=8))
+    job = make_job(2, ONE)
+    machine = make_machine(12, (load, job), work_s=WORK_S)
+    machine.run(1.0)
+    leave(machine, name_workers(left, 12))
+    machine.run(5.0)
+    quarantine(machine, ["w0"])
+    fill(machine, load)
+    machine.run(CALM_S + LONGEST_S)
+    assert get_wait_s(machine, job) <= LONGEST_S
+
+
+@pytest.mark.parametrize("free", [1, 4])
+def test_reserved_workers_are_used_when_the_rest_of_the_fleet_is_full(free):
+    step = StepSpec(20, accelerators=8 - free, estimate_ms=60_000, spread_limit=1)
+    load = make_job(1, replace(step, checkpoints=True))
+    full = replace(step, count=6, accelerators=free, checkpoints=True)
+    rest = make_job(2, full)
+    wide = StepSpec(2, accelerators=8, estimate_ms=60_000, gang=True, same_rack=True)
+    gang, job = make_job(3, wide, target_ms=120_000), make_job(4, ONE)
+    machine = make_machine(20, (load, rest, gang, job), work_s=WORK_S)
+    machine.run(1.0)
+    fill(machine, load)
+    machine.submit(gang)
+    machine.run(1.0)
+    kept = get_reserved(machine, gang)
+    assert len(kept) == 2
+    others = [name for name in name_workers(0, 20) if name not in kept]
+    leave(machine, others[:12])
+    machine.run(5.0)
+    fill(machine, rest)
+    assert get_reserved(machine, gang) == kept
+    assert get_wait_s(machine, job) <= LONGEST_S
+
+
+def test_full_workers_that_leave_do_not_count_as_used_room():
+    load = make_job(1, StepSpec(count=4, accelerators=8, data_rack="r0"))
+    near = make_job(2, StepSpec(count=3, accelerators=8, data_rack="r1"))
+    job = make_job(3, StepSpec(count=1, accelerators=1, data_rack="r1"))
+    machine = make_machine(12, (load, near, job), work_s=WORK_S)
+    machine.run(1.0)
+    leave(machine, ["w7"])
+    machine.run(5.0)
+    fill(machine, load)
+    fill(machine, near)
+    leave(machine, name_workers(0, 4), 40.0)
+    machine.run(1.0)
+    assert get_wait_s(machine, job) <= LONGEST_S
+
+
+@pytest.mark.parametrize("checkpoints", [False, True])
+def test_guarantees_beyond_what_is_left_hold_nothing_up(checkpoints):
+    load = make_job(1, StepSpec(count=6, accelerators=4, checkpoints=True))
+    job = make_job(2, StepSpec(count=6, accelerators=1, checkpoints=checkpoints))
+    guarantees = {"bob": 70, "eve": 70}
+    machine = make_machine(24, (load, job), guarantees, work_s=WORK_S)
+    machine.run(1.0)
+    leave(machine, name_workers(6, 24))
+    machine.run(5.0)
+    fill(machine, load)
+    assert get_wait_s(machine, job) <= LONGEST_S
+
+
+def test_a_past_peak_of_urgent_work_beyond_what_is_left_holds_nothing_up():
+    urgent = make_job(1, StepSpec(count=100, accelerators=1), priority=0)
+    load = make_job(2, StepSpec(count=5, accelerators=8))
+    job = make_job(3, ONE)
+    machine = make_machine(24, (urgent, load, job), work_s=WORK_S)
+    machine.world.work_s_of = lambda t: 2.0 if t.startswith(urgent.job_id) else WORK_S
+    machine.submit(urgent)
+    machine.run(3.0)
+    leave(machine, name_workers(6, 24))
+    machine.run(4.0)
+    machine.submit(load)
+    machine.run(5.0)
+    assert count_running(machine, load) == 5
+    assert get_wait_s(machine, job) <= LONGEST_S
+
+
+@pytest.mark.parametrize("left", [2, 3, 6])
+def test_a_gang_starts_where_every_other_worker_failed_it(left):
+    failed = set()
+
+    def fails(task: str, worker: str) -> bool:
+        is_first = task.startswith(job.job_id) and worker not in failed
+        failed.add(worker)
+        return is_first
+
+    job = make_job(
+        1, StepSpec(left, accelerators=1, gang=True, spread_limit=1), max_attempts=40
+    )
+    machine = make_machine(8, (job,), work_s=0.5, fails=fails)
+    machine.run(1.0)
+    leave(machine, name_workers(left, 8))
+    machine.run(5.0)
+    assert get_wait_s(machine, job) <= LONGEST_S
+    machine.run(12.0)
+    assert machine.book.get(job.job_id).outcome is not None
+
+
+def test_a_gang_with_a_spread_limit_starts_on_as_many_workers_as_are_left():
+    load = make_job(1, StepSpec(count=4, accelerators=4, spread_limit=1))
+    step = StepSpec(4, accelerators=2, gang=True, same_rack=True, spread_limit=1)
+    job = make_job(2, step)
+    machine = make_machine(12, (load, job), work_s=WORK_S)
+    machine.run(1.0)
+    leave(machine, name_workers(4, 12))
+    machine.run(5.0)
+    fill(machine, load)
+    assert get_wait_s(machine, job) <= LONGEST_S
+
+
+def test_a_plan_on_a_worker_that_leaves_is_made_anew():
+    step = StepSpec(count=6, accelerators=8, checkpoints=True)
+    load = make_job(1, step)
+    job = make_job(2, StepSpec(2, accelerators=8, gang=True), priority=0)
+    machine = make_machine(6, (load, job), {"ann": 16}, work_s=WORK_S)
+    machine.run(1.0)
+    fill(machine, load)
+    machine.submit(job)
+    machine.run(0.2)
+    state = machine.owner.scheduler.state
+    (phase,) = state.jobs[job.job_id].phases.values()
+    assert phase.plan
+    leave(machine, [min(phase.plan.values())])
+    machine.run(LONGEST_S)
+    assert count_running(machine, job) == 2
+
+
+def test_a_reservation_holds_as_many_workers_as_a_spread_limit_takes():
+    step = StepSpec(20, accelerators=7, estimate_ms=20_000, spread_limit=1)
+    load = make_job(1, step)
+    wide = StepSpec(2, accelerators=4, estimate_ms=2000, gang=True, spread_limit=1)
+    gang = make_job(2, wide, target_ms=60_000)
+    machine = make_machine(20, (load, gang), work_s=WORK_S)
+    fill(machine, load)
+    machine.submit(gang)
+    machine.run(1.0)
+    assert len(get_reserved(machine, gang)) == 2
