Tell steps apart by the rack that they ask for

A task with room on an empty worker never started while a wider step with the same need waited for a rack: within a pass a failed search stands for all steps of one shape, and the shape told same_rack for gangs only. A step that is no gang looks for a rack too, one that could hold all of its tasks.

The shape now holds how many tasks the rack must be able to hold.

--- a/src/larkhoist/fleet/shapes.py
+++ b/src/larkhoist/fleet/shapes.py
@@ -31,7 +31,8 @@
     """Hold what decides whether room is found; a part of a gang finds none.
 
     ``spread`` names a phase with a limit of its own on tasks of one worker,
-    ``reserved_for`` one that has workers of its own.
+    ``reserved_for`` one that has workers of its own. ``one_rack`` is how many tasks a
+    rack must be able to hold, 0 for a phase that may use several racks.
     """
 
     service: str
@@ -39,7 +40,7 @@
     label: str
     data_rack: str
     spread: PhaseId | None
-    same_rack: bool
+    one_rack: int
     together: int
     leeway: Leeway
     keeps_reservations: bool
@@ -65,7 +66,7 @@
         spec.label,
         spec.data_rack,
         phase.id if spec.spread_limit else None,
-        spec.gang and spec.same_rack,
+        len(phase.tasks) if spec.same_rack else 0,
         count if spec.gang else 1,
         leeway,
         tier > Tier.URGENT,
