Reserve as many workers as the spread limit takes

Reservations counted a worker's whole capacity, so that a gang of two with a limit of one got one worker and still had to wait for room among small tasks. They count it by the spread limit as well. The case of test_shrunken_fleets.py failed before (1 worker for 2) and leaves the list of red tests.

--- a/src/larkhoist/fleet/reservations.py
+++ b/src/larkhoist/fleet/reservations.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from larkhoist.fleet.placing import WorkerGroup
+from larkhoist.fleet.placing import WorkerGroup, count_fitting
 from larkhoist.fleet.task import Phase, Task, TaskState
 from larkhoist.fleet.worker import FleetWorker
 from larkhoist.jobs.records import PhaseId
@@ -97,9 +97,10 @@
         drains.sort(key=lambda one: one[:2])
         names = set()
         room = 0
+        limit = phase.spec.spread_limit
         for drain_s, name, worker in drains:
             names.add(name)
-            room += worker.capacity.count_fitting(phase.need)
+            room += count_fitting(worker.capacity, phase.need, limit, 0)
             if room >= count:
                 return Reservation(phase.id, frozenset(names), now_s + drain_s)
         return None
