Let a job with nothing running try calm workers in quarantine

What callers saw: with all other workers full, a task stood beside an empty worker for the whole quarantine, 30 s and more. The end of that wait held only where under half of something that the task needs is used; the users set no such bound in calm times.

A step that has waited for 2 s, of which nothing runs and which fits twice over, may now send one task, or its gang, to workers in quarantine however much is used, if they have failed nothing for 6 s: work that fails there may fail for good, so that the shorter times stay bound to idle room.

--- a/src/larkhoist/fleet/eligibility.py
+++ b/src/larkhoist/fleet/eligibility.py
@@ -103,7 +103,7 @@
         groups = self.list_unreserved(tier, leeway, active, phase)
         held = list_eligible(self.held, active.job.terms.service, phase.spec)
         state, now_s = self._state, self._now_s
-        calm = [w for w in held if state.may_probe(w, leeway.calm_s, now_s)]
+        calm = [w for w in held if state.may_probe(w, leeway.probe_calm_s, now_s)]
         return WorkerGroups([*groups.whole.workers, *calm])
 
     def _get_usable(self, service: str, phase: Phase) -> WorkerGroups:
--- a/src/larkhoist/fleet/leeway.py
+++ b/src/larkhoist/fleet/leeway.py
@@ -53,6 +53,15 @@
         """
         return self.fits_twice and self.some_idle
 
+    @property
+    def probe_calm_s(self) -> float:
+        """Return for how long a worker in quarantine that is tried has failed nothing.
+
+        Where most is in use, probes are the rule rather than the exception, and what
+        fails may fail for good.
+        """
+        return self.calm_s if self.any_worker else RISKY_PROBE_AFTER_S
+
     @property
     def any_rack(self) -> bool:
         """Tell whether it may leave its racks, and go to reserved workers.
--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -111,7 +111,7 @@
         waited_s = self.now_s - phase.waiting_since_s
         may_reserve = phase.spec.gang and self._may_reserve(tier, phase, waited_s)
         urgent = tier <= Tier.URGENT
-        may_probe = self.eligible.held and leeway.any_worker
+        may_probe = self._may_probe(leeway, phase)
         may_fit = may_probe or self.eligible.may_fit(phase)
         if not (urgent or may_reserve or may_fit):
             self._note_wait(phase, WaitReason.NO_ROOM, tier, self.usable)
@@ -171,11 +171,20 @@
             reason = self._start(tier, leeway, active, phase, groups, Among.USABLE)
         if reason is None or len(phase.get_waiting()) < left:
             return reason
-        if not self.eligible.held or not leeway.any_worker:
+        if not self._may_probe(leeway, phase):
             return reason
         groups = self.eligible.add_held(tier, leeway, active, phase)
         return self._start(tier, leeway, active, phase, groups, Among.QUARANTINED)
 
+    def _may_probe(self, leeway: Leeway, phase: Phase) -> bool:
+        """Tell whether a phase may try workers in quarantine.
+
+        Where most is in use, only one that has nothing running may.
+        """
+        if not self.eligible.held or not leeway.fits_twice:
+            return False
+        return leeway.any_worker or _stands(phase)
+
     def _start(
         self,
         tier,
@@ -189,6 +198,8 @@
         count = len(phase.get_waiting())
         if among is Among.APART and not phase.spec.gang:
             count = 1
+        if among is Among.QUARANTINED and not leeway.any_worker:
+            count = min(count, count_together(phase))
         if not self.mostly_idle:
             allowed = self._count_allowed(active, phase, count)
             if leeway.overdue:
@@ -380,5 +391,10 @@
     return count_together(phase) if leeway.fits_twice else 0
 
 
+def _stands(phase: Phase) -> bool:
+    """Tell whether nothing of a phase runs; tasks that last count one by one."""
+    return phase.is_off_workers or phase.spec.long_running
+
+
 def _count_tasks(worker: FleetWorker) -> int:
     return len(worker.tasks)
