Let tasks that last use reserved workers

A task that lasts stood beside free room on workers that were reserved for a gang, for as long as the gang waited; the users count such a task from 6 s after its last run, however full the service is. One at a time now goes there once it has waited for 2 s and fits twice over. Two cases of test_shrunken_fleets.py failed before, start within 3 s now and leave the list of red tests.

Tried as well, not kept: the same for one task of any step with nothing running, where half of something alone is idle.

--- a/src/larkhoist/fleet/eligibility.py
+++ b/src/larkhoist/fleet/eligibility.py
@@ -78,11 +78,15 @@
             return groups
         return groups if len(others) == len(workers) else WorkerGroups(others)
 
+    def list_usable(self, active: ActiveJob, phase: Phase) -> WorkerGroups:
+        """Return the usable workers, those reserved for others included."""
+        return self._get_usable(active.job.terms.service, phase)
+
     def list_unreserved(
         self, tier: Tier, leeway: Leeway, active: ActiveJob, phase: Phase
     ) -> WorkerGroups:
         """Return the usable workers but for those reserved for others."""
-        groups = self._get_usable(active.job.terms.service, phase)
+        groups = self.list_usable(active, phase)
         reservations = self._state.reservations
         if not len(reservations) or leeway.any_rack or tier <= Tier.URGENT:
             return groups
--- a/src/larkhoist/fleet/leeway.py
+++ b/src/larkhoist/fleet/leeway.py
@@ -48,8 +48,8 @@
     def any_worker(self) -> bool:
         """Tell whether it may take what guarantees and urgent work may need.
 
-        Reserved workers are not among it: narrow work in their gaps made a gang wait
-        for 14 s instead of 5 s (6 drawn loads of 8 workers).
+        Reserved workers are not among it, but for tasks that last: narrow work in their
+        gaps made a gang wait for 14 s instead of 5 s (6 drawn loads of 8 workers).
         """
         return self.fits_twice and self.some_idle
 
--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -163,7 +163,8 @@
         """Start what has waited for long where it would not go by preference.
 
         First where it has failed before, then on workers in quarantine, which would be
-        waited for for half a minute. ``reason`` is why it has not started yet.
+        waited for for half a minute, and last on those reserved for others. ``reason``
+        is why it has not started yet.
         """
         left = len(phase.get_waiting())
         if any(task.failed_on for task in phase.tasks):
@@ -171,10 +172,15 @@
             reason = self._start(tier, leeway, active, phase, groups, Among.USABLE)
         if reason is None or len(phase.get_waiting()) < left:
             return reason
-        if not self._may_probe(leeway, phase):
+        if self._may_probe(leeway, phase):
+            groups = self.eligible.add_held(tier, leeway, active, phase)
+            reason = self._start(tier, leeway, active, phase, groups, Among.QUARANTINED)
+        if reason is None or len(phase.get_waiting()) < left:
+            return reason
+        if not self._may_use_reserved(leeway, phase):
             return reason
-        groups = self.eligible.add_held(tier, leeway, active, phase)
-        return self._start(tier, leeway, active, phase, groups, Among.QUARANTINED)
+        groups = self.eligible.list_usable(active, phase)
+        return self._start(tier, leeway, active, phase, groups, Among.RESERVED)
 
     def _may_probe(self, leeway: Leeway, phase: Phase) -> bool:
         """Tell whether a phase may try workers in quarantine.
@@ -185,6 +191,15 @@
             return False
         return leeway.any_worker or _stands(phase)
 
+    def _may_use_reserved(self, leeway: Leeway, phase: Phase) -> bool:
+        """Tell whether a phase may use workers reserved for others.
+
+        Only tasks that last may, one at a time: a gang waits longer beside them.
+        """
+        if not len(self.state.reservations):
+            return False
+        return phase.spec.long_running and leeway.fits_twice
+
     def _start(
         self,
         tier,
@@ -198,7 +213,9 @@
         count = len(phase.get_waiting())
         if among is Among.APART and not phase.spec.gang:
             count = 1
-        if among is Among.QUARANTINED and not leeway.any_worker:
+        if among is Among.RESERVED or (
+            among is Among.QUARANTINED and not leeway.any_worker
+        ):
             count = min(count, count_together(phase))
         if not self.mostly_idle:
             allowed = self._count_allowed(active, phase, count)
--- a/src/larkhoist/fleet/shapes.py
+++ b/src/larkhoist/fleet/shapes.py
@@ -18,13 +18,15 @@
 
     ``PREFERRED`` ones are usable and it has not failed there, ``APART`` ones run
     nothing that may crash them either, ``USABLE`` ones are all usable ones,
-    ``QUARANTINED`` the same with those in quarantine that may be tried.
+    ``QUARANTINED`` the same with those in quarantine that may be tried, ``RESERVED``
+    the usable ones with those reserved for others.
     """
 
     PREFERRED = 0
     APART = 1
     USABLE = 2
     QUARANTINED = 3
+    RESERVED = 4
 
 
 class Shape(msgspec.Struct, frozen=True):
