Do not let full workers that leave count as used room

A task waited for the rack of its data beside idle workers, for good: it may leave its rack where half of everything is idle, and full workers that leave, which serve on for seconds to minutes, counted as used (56 of 88 accelerators, 24 of 56 on those that stay). The same holds for full halls that are cordoned.

The half is now reached where either the whole room or what stays is under it, since the users do not say which they count.

--- a/src/larkhoist/fleet/eligibility.py
+++ b/src/larkhoist/fleet/eligibility.py
@@ -22,7 +22,7 @@
     def __init__(self, state: FleetState, now_s: float):
         self._state = state
         self._now_s = now_s
-        self._rooms: dict[str, ServiceRoom] | None = None
+        self._rooms: list[dict[str, ServiceRoom]] = []
         self._fitting: dict[Resources, int] = {}
         self._room: dict[tuple, int] = {}
         self._groups: dict[tuple, WorkerGroups] = {}
@@ -43,12 +43,27 @@
         )
         if self._now_s < overdue_s:
             return Leeway()
-        if self._rooms is None:
-            self._rooms = count_service_rooms(self._state)
-        room = self._rooms.get(active.job.terms.service, ServiceRoom())
-        fitting = self._count_room(active.job.terms.service, phase)
+        service = active.job.terms.service
+        fitting = self._count_room(service, phase)
         calm_s = get_calm_s(active, phase, self._now_s)
-        return make_leeway(phase, room.used, room.total, fitting, calm_s, policy)
+        leeways = [
+            make_leeway(phase, room.used, room.total, fitting, calm_s, policy)
+            for room in self._list_rooms(service)
+        ]
+        return max(leeways, key=lambda one: (one.all_idle, one.some_idle))
+
+    def _list_rooms(self, service: str) -> list[ServiceRoom]:
+        """Return a service's room, as a whole and without what is about to go.
+
+        The half that has to be idle may be reached in either: workers that leave may
+        be full or empty.
+        """
+        if not self._rooms:
+            self._rooms = [
+                count_service_rooms(self._state),
+                count_service_rooms(self._state, staying=True),
+            ]
+        return [rooms.get(service, ServiceRoom()) for rooms in self._rooms]
 
     def forget_room(self) -> None:
         """Have the room counted anew, since something has started."""
--- a/src/larkhoist/fleet/room.py
+++ b/src/larkhoist/fleet/room.py
@@ -24,13 +24,17 @@
     total: Resources = Resources()
 
 
-def count_service_rooms(state: FleetState) -> dict[str, ServiceRoom]:
+def count_service_rooms(
+    state: FleetState, *, staying: bool = False
+) -> dict[str, ServiceRoom]:
     """Return the room by service, that of cordoned halls included.
 
-    The half that has to be idle before work may go anywhere is reached sooner so.
+    If ``staying``, workers that leave and those of cordoned halls do not count.
     """
     rooms: dict[str, ServiceRoom] = {}
     for worker in state.workers.values():
+        if staying and (worker.leaving or state.is_cordoned(worker)):
+            continue
         if worker.listed:
             room = rooms.setdefault(worker.service, ServiceRoom())
             room.used += worker.used
