--- a/tests/fleet/test_shrunken_fleets.py
+++ b/tests/fleet/test_shrunken_fleets.py
@@ -11,12 +11,16 @@
 
 from larkhoist.jobs.spec import StagedJob, StepSpec
 from tests.fleet.cases import make_job, make_machine
+from tests.fleet.checks import check_history
 from tests.fleet.machine import FleetMachine
 from tests.fleet.test_reservations import get_reserved
 
 LONGEST_S = 3.0
 CALM_S = 4.0
+RECLAIM_S = 3.4
+"""How soon after its acceptance guaranteed work has begun; from the users' rules."""
 WORK_S = 60.0
+SHORT_S = 6.0
 ONE = StepSpec(count=1, accelerators=1)
 WHOLE = StepSpec(count=1, accelerators=8)
 
@@ -229,3 +233,44 @@
     machine.submit(gang)
     machine.run(1.0)
     assert len(get_reserved(machine, gang)) == 2
+
+
+@pytest.mark.parametrize("tasks", [1, 2])
+def test_guaranteed_work_begins_in_time_where_guarantees_exceed_what_is_left(tasks):
+    machine, first, job = make_beyond_guarantees(tasks)
+    machine.submit(job)
+    machine.run(RECLAIM_S)
+    assert count_running(machine, job) == tasks
+    machine.run(2 * SHORT_S)
+    # What was stopped goes on, and does not stop the other in turn.
+    assert count_runs(machine, job) == tasks
+    assert count_runs(machine, first) == 2 * first.steps[0].count
+    check_history(machine)
+
+
+def test_guaranteed_work_that_ends_soon_is_not_stopped_for_other_such_work():
+    machine, first, job = make_beyond_guarantees(2)
+    machine.run(SHORT_S - 2.0)
+    machine.submit(job)
+    machine.run(RECLAIM_S)
+    assert count_running(machine, job) == 2
+    assert count_runs(machine, first) == first.steps[0].count
+
+
+def make_beyond_guarantees(tasks: int) -> tuple[FleetMachine, StagedJob, StagedJob]:
+    """Return a machine full of one customer's guaranteed gang, and another's job."""
+    first = make_job(1, StepSpec(4, accelerators=8, gang=True), priority=0)
+    job = make_job(
+        2, StepSpec(tasks, accelerators=8, gang=True), priority=0, customer="bob"
+    )
+    guarantees = {"ann": 32, "bob": 16}
+    machine = make_machine(8, (first, job), guarantees, work_s=SHORT_S)
+    machine.run(1.0)
+    leave(machine, name_workers(4, 8))
+    machine.run(5.0)
+    fill(machine, first)
+    return machine, first, job
+
+
+def count_runs(machine: FleetMachine, job: StagedJob) -> int:
+    return sum(run.task.startswith(job.job_id) for run in machine.world.history)
