--- a/tests/fleet/test_shrunken_fleets.py
+++ b/tests/fleet/test_shrunken_fleets.py
@@ -130,18 +130,38 @@
 
 
 def test_full_workers_that_leave_do_not_count_as_used_room():
+    machine, job = make_full_beside_idle()
+    leave(machine, name_workers(0, 4), 40.0)
+    machine.run(1.0)
+    assert get_wait_s(machine, job) <= LONGEST_S
+
+
+def test_a_full_hall_that_is_cordoned_does_not_count_as_used_room():
+    machine, job = make_full_beside_idle()
+    machine.cordoned = frozenset({"h0"})
+    machine.run(1.0)
+    assert get_wait_s(machine, job) <= LONGEST_S
+
+
+def make_full_beside_idle() -> tuple[FleetMachine, StagedJob]:
+    """Return a machine with two full racks and an idle one, and a job for the second.
+
+    The first rack is a hall of its own.
+    """
     load = make_job(1, StepSpec(count=4, accelerators=8, data_rack="r0"))
     near = make_job(2, StepSpec(count=3, accelerators=8, data_rack="r1"))
     job = make_job(3, StepSpec(count=1, accelerators=1, data_rack="r1"))
     machine = make_machine(12, (load, near, job), work_s=WORK_S)
+    for name in name_workers(0, 4):
+        machine.world.workers[name].hall = "h0"
+    machine.step()
+    machine.replace_owner()
     machine.run(1.0)
     leave(machine, ["w7"])
     machine.run(5.0)
     fill(machine, load)
     fill(machine, near)
-    leave(machine, name_workers(0, 4), 40.0)
-    machine.run(1.0)
-    assert get_wait_s(machine, job) <= LONGEST_S
+    return machine, job
 
 
 @pytest.mark.parametrize("checkpoints", [False, True])
