Add a failing test of a reservation that never comes free

A gang reserves the worker that is expected to be free first. A task that lasts is taken to end after its estimate, so that its worker is chosen, and never free as a whole.

--- a/tests/fleet/test_shrunken_fleets.py
+++ b/tests/fleet/test_shrunken_fleets.py
@@ -255,6 +255,22 @@
     assert len(get_reserved(machine, gang)) == 2
 
 
+def test_no_worker_is_reserved_that_tasks_that_last_never_leave():
+    step = StepSpec(8, accelerators=6, estimate_ms=20_000, spread_limit=1)
+    lasting = make_job(1, StepSpec(1, accelerators=1, long_running=True))
+    load = make_job(2, replace(step, checkpoints=True))
+    gang = make_job(3, StepSpec(1, accelerators=8, estimate_ms=2000, gang=True))
+    machine = make_machine(8, (lasting, load, gang), work_s=WORK_S)
+    fill(machine, lasting)
+    (run,) = machine.world.history
+    fill(machine, load)
+    machine.submit(gang)
+    machine.run(1.0)
+    kept = get_reserved(machine, gang)
+    assert kept
+    assert run.worker not in kept
+
+
 @pytest.mark.parametrize("tasks", [1, 2])
 def test_guaranteed_work_begins_in_time_where_guarantees_exceed_what_is_left(tasks):
     machine, first, job = make_beyond_guarantees(tasks)
