Reserve no worker with a task that lasts

Such a task was taken to end after its estimate, so that a gang reserved its worker first and kept it from others without ever getting it as a whole.

--- a/src/larkhoist/fleet/reservations.py
+++ b/src/larkhoist/fleet/reservations.py
@@ -6,6 +6,7 @@
 its own until it starts, ends or can't be in time any more.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -94,6 +95,7 @@
             for worker in group.workers
             if worker.name not in self._holders
         ]
+        drains = [one for one in drains if one[0] < math.inf]
         drains.sort(key=lambda one: one[:2])
         names = set()
         room = 0
@@ -109,7 +111,10 @@
 def get_drain_s(
     state: "FleetState", worker: FleetWorker, phase: Phase, now_s: float
 ) -> float:
-    """Return how long a worker takes until ``phase`` could have all of it."""
+    """Return how long a worker takes until ``phase`` could have all of it.
+
+    Infinite where a task that lasts runs.
+    """
     return max(
         (
             _get_left_s(state, other, task, now_s)
@@ -123,6 +128,8 @@
     stop_s = state.policy.stop_s
     if task.state is TaskState.STOPPING:
         return stop_s
+    if phase.spec.long_running:
+        return math.inf
     if phase.spec.checkpoints:
         return stop_s
     queue = state.jobs[phase.id.job_id].job.queue
