--- a/tests/fleet/test_leeway.py
+++ b/tests/fleet/test_leeway.py
@@ -141,6 +141,20 @@
     assert list_begun_s(machine, gang)
 
 
+def test_work_stood_still_beside_like_work_that_waits_for_a_rack():
+    # Only the rack of four workers could hold both tasks, and it is full.
+    load = make_job(1, replace(WHOLE, count=4))
+    near = make_job(2, replace(WHOLE, count=2, same_rack=True))
+    job = make_job(3, WHOLE)
+    machine = make_machine(5, (load, near, job), work_s=30.0)
+    machine.submit(load)
+    machine.run(1.0)
+    machine.submit(near)
+    machine.submit(job)
+    machine.run(4.0)
+    assert list_begun_s(machine, job)
+
+
 def test_what_is_reserved_for_a_gang_is_not_taken_by_narrow_work():
     # Memory and processor are never half used by such tasks.
     narrow = replace(NARROW, count=120)
