End the wait for a rack where more than half is used

That preference ended only where half of everything was idle; a rack of few workers that stay full never gets room.

_start_overdue goes through a list of last resorts in place of a chain of conditions.

--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -163,24 +163,39 @@
         """Start what has waited for long where it would not go by preference.
 
         First where it has failed before, then on workers in quarantine, which would be
-        waited for for half a minute, and last on those reserved for others. ``reason``
-        is why it has not started yet.
+        waited for for half a minute, in other racks, and last on workers reserved for
+        others. ``reason`` is why it has not started yet.
         """
         left = len(phase.get_waiting())
-        if any(task.failed_on for task in phase.tasks):
-            groups = self.eligible.list_unreserved(tier, leeway, active, phase)
-            reason = self._start(tier, leeway, active, phase, groups, Among.USABLE)
-        if reason is None or len(phase.get_waiting()) < left:
-            return reason
-        if self._may_probe(leeway, phase):
-            groups = self.eligible.add_held(tier, leeway, active, phase)
-            reason = self._start(tier, leeway, active, phase, groups, Among.QUARANTINED)
-        if reason is None or len(phase.get_waiting()) < left:
-            return reason
-        if not self._may_use_reserved(leeway, phase):
-            return reason
-        groups = self.eligible.list_usable(active, phase)
-        return self._start(tier, leeway, active, phase, groups, Among.RESERVED)
+        for among in self._list_last_resorts(leeway, active, phase):
+            groups = self._get_last_resort(among, tier, leeway, active, phase)
+            reason = self._start(tier, leeway, active, phase, groups, among)
+            if reason is None or len(phase.get_waiting()) < left:
+                break
+        return reason
+
+    def _list_last_resorts(
+        self, leeway: Leeway, active: ActiveJob, phase: Phase
+    ) -> list[Among]:
+        """Return where a phase that has waited for long may go, in this order."""
+        last_resorts = (
+            (any(task.failed_on for task in phase.tasks), Among.USABLE),
+            (self._may_probe(leeway, phase), Among.QUARANTINED),
+            (self._may_leave_rack(leeway, active, phase), Among.ANY_RACK),
+            (self._may_use_reserved(leeway, phase), Among.RESERVED),
+        )
+        return [among for applies, among in last_resorts if applies]
+
+    def _get_last_resort(
+        self, among: Among, tier: Tier, leeway: Leeway, active, phase: Phase
+    ) -> WorkerGroups:
+        match among:
+            case Among.QUARANTINED:
+                return self.eligible.add_held(tier, leeway, active, phase)
+            case Among.RESERVED:
+                return self.eligible.list_usable(active, phase)
+            case _:
+                return self.eligible.list_unreserved(tier, leeway, active, phase)
 
     def _may_probe(self, leeway: Leeway, phase: Phase) -> bool:
         """Tell whether a phase may try workers in quarantine.
@@ -191,6 +206,23 @@
             return False
         return leeway.any_worker or _stands(phase)
 
+    def _may_leave_rack(self, leeway: Leeway, active: ActiveJob, phase: Phase) -> bool:
+        """Tell whether a phase may leave its racks though more than half is used.
+
+        Only one that has nothing running may: tasks that last at once, others after as
+        long as they run longer elsewhere.
+        """
+        spec = phase.spec
+        if leeway.any_rack or not (spec.same_rack or spec.data_rack):
+            return False
+        if not leeway.fits_twice or not _stands(phase):
+            return False
+        if spec.long_running:
+            return True
+        expected_s = self.state.runtimes.predict(active.job.queue, spec.estimate_ms)
+        longer_s = (self.state.policy.far_ratio - 1) * expected_s
+        return self.now_s >= phase.unserved_since_s + longer_s
+
     def _may_use_reserved(self, leeway: Leeway, phase: Phase) -> bool:
         """Tell whether a phase may use workers reserved for others.
 
@@ -213,9 +245,7 @@
         count = len(phase.get_waiting())
         if among is Among.APART and not phase.spec.gang:
             count = 1
-        if among is Among.RESERVED or (
-            among is Among.QUARANTINED and not leeway.any_worker
-        ):
+        if _is_one_at_a_time(among, leeway):
             count = min(count, count_together(phase))
         if not self.mostly_idle:
             allowed = self._count_allowed(active, phase, count)
@@ -232,9 +262,10 @@
         if shape in self.failed:
             return WaitReason.NO_ROOM
         search = (groups, tier, phase, count)
-        places = self._find_unreserved(*search, anywhere=leeway.any_rack)
+        anywhere = leeway.any_rack or among in (Among.ANY_RACK, Among.RESERVED)
+        places = self._find_unreserved(*search, anywhere=anywhere)
         if not places:
-            places = self._find_places(*search, anywhere=leeway.any_rack)
+            places = self._find_places(*search, anywhere=anywhere)
         if places:
             self._assign(active, phase, places)
         else:
@@ -413,5 +444,16 @@
     return phase.is_off_workers or phase.spec.long_running
 
 
+def _is_one_at_a_time(among: Among, leeway: Leeway) -> bool:
+    """Tell whether one task, or a gang, of a phase goes there in one decision."""
+    match among:
+        case Among.ANY_RACK | Among.RESERVED:
+            return True
+        case Among.QUARANTINED:
+            return not leeway.any_worker
+        case _:
+            return False
+
+
 def _count_tasks(worker: FleetWorker) -> int:
     return len(worker.tasks)
--- a/src/larkhoist/fleet/shapes.py
+++ b/src/larkhoist/fleet/shapes.py
@@ -18,15 +18,17 @@
 
     ``PREFERRED`` ones are usable and it has not failed there, ``APART`` ones run
     nothing that may crash them either, ``USABLE`` ones are all usable ones,
-    ``QUARANTINED`` the same with those in quarantine that may be tried, ``RESERVED``
-    the usable ones with those reserved for others.
+    ``QUARANTINED`` the same with those in quarantine that may be tried, ``ANY_RACK``
+    all usable ones, whatever rack it asks for, ``RESERVED`` the same with those
+    reserved for others.
     """
 
     PREFERRED = 0
     APART = 1
     USABLE = 2
     QUARANTINED = 3
-    RESERVED = 4
+    ANY_RACK = 4
+    RESERVED = 5
 
 
 class Shape(msgspec.Struct, frozen=True):
--- a/tests/fleet/test_leeway.py
+++ b/tests/fleet/test_leeway.py
@@ -141,6 +141,29 @@
     assert list_begun_s(machine, gang)
 
 
+@pytest.mark.parametrize(
+    ("full", "spec", "latest_s"),
+    [
+        (11, replace(WHOLE, data_rack="r0", estimate_ms=2000), 4.5),
+        (11, replace(WHOLE, data_rack="r0", estimate_ms=9000, long_running=True), 3.0),
+        (8, replace(WHOLE, count=3, gang=True, same_rack=True, estimate_ms=2000), 4.5),
+    ],
+)
+def test_work_stood_still_for_a_rack_beside_room_twice_over(full, spec, latest_s):
+    # More than half is used: rack r0 is full, or no rack holds all of a gang.
+    load, job = make_job(1, replace(WHOLE, count=full)), make_job(2, spec)
+    machine = make_machine(15, (load, job), work_s=30.0)
+    for number, worker in enumerate(machine.world.workers.values()):
+        worker.rack = f"r{number % 5}"
+    machine.submit(load)
+    machine.run(1.0)
+    machine.submit(job)
+    machine.run(1.0)
+    assert not list_begun_s(machine, job)
+    machine.run(latest_s - 1.0)
+    assert list_begun_s(machine, job)
+
+
 def test_work_stood_still_beside_like_work_that_waits_for_a_rack():
     # Only the rack of four workers could hold both tasks, and it is full.
     load = make_job(1, replace(WHOLE, count=4))
