Add a failing test of a new owner that calls thousands of workers at once

A new owner opens a session to each listed worker and calls all of them in one step. Where the calls need more of its processor than their time-out, answers come too late to be read, count as lost, and the calls are made again by new connections.

--- a/tests/control/test_scheduler_node.py
+++ b/tests/control/test_scheduler_node.py
@@ -4,8 +4,9 @@
 from dataclasses import replace
 
 import pytest
-from returns.result import Success
+from returns.result import Failure, Success
 
+from larkhoist.codes import Code
 from larkhoist.control.catalog_keeper import CONFIGURATION_STREAM
 from larkhoist.control.roster_keeper import WORKER_STREAM
 from larkhoist.control.scheduler_node import SchedulerNode, create_scheduler_node
@@ -15,6 +16,7 @@
 from larkhoist.ports.fleet import ListedTaskWorker, Resources
 from larkhoist.ports.keyed_log import KeyedRecord
 from larkhoist.ports.task_worker import LeaseCall, WorkerReport
+from larkhoist.problem import Problem
 from tests.control.memory_log import MemoryLog, PartialLog
 
 CATALOG = Catalog(1, (), (), 1000)
@@ -154,3 +156,65 @@
             await asyncio.sleep(0.01)
     await node.close()
     assert addresses == ["address", "other"]
+
+
+class SharedProcessor:
+    """Stand in for many idle workers whose calls share the owner's processor.
+
+    Each call takes ``cost_s`` of it, one after the other, and is taken as lost if it is
+    not done within ``timeout_s``.
+    """
+
+    def __init__(self, cost_s: float, timeout_s: float):
+        self.heard: set[str] = set()
+        self.lost = 0
+        self._cost_s = cost_s
+        self._timeout_s = timeout_s
+        self._free_s = 0.0
+
+    async def call(self, name: str):
+        now_s = asyncio.get_running_loop().time()
+        self._free_s = max(self._free_s, now_s) + self._cost_s
+        takes_s = self._free_s - now_s
+        await asyncio.sleep(min(takes_s, self._timeout_s))
+        if takes_s > self._timeout_s:
+            self.lost += 1
+            return Failure(Problem(Code.WORKER_SILENT))
+        self.heard.add(name)
+        return Success(WorkerReport(1000, (), ()))
+
+
+class SharingWorker:
+    """Stand in for one worker of a ``SharedProcessor``."""
+
+    def __init__(self, name: str, processor: SharedProcessor):
+        self._name = name
+        self._processor = processor
+
+    async def renew(self, call: LeaseCall):
+        return await self._processor.call(self._name)
+
+
+async def test_a_new_owner_loses_no_answer_of_thousands_of_workers():
+    # A new owner called all workers at once. With 3,000 of them that was more than its
+    # processor could do within the time-out of a call: most calls were taken as lost
+    # and made again, each by a new connection, and the workers counted as silent.
+    count = 3000
+    log = MemoryLog()
+    log.streams[CONFIGURATION_STREAM] = [KeyedRecord("config", b"1")]
+    log.streams[WORKER_STREAM] = [KeyedRecord(f"w{i}", b"1") for i in range(count)]
+    processor = SharedProcessor(cost_s=0.0005, timeout_s=0.7)
+    node = create_scheduler_node(
+        FleetSettings(instance="one", hall="hall"),
+        PartialLog(log),
+        lambda record: CATALOG,
+        lambda record: None,
+        lambda record: replace(LISTED, name=record.key, address=record.key),
+        lambda name, address: SharingWorker(name, processor),
+    )
+    await node.start()
+    async with asyncio.timeout(20):
+        while len(processor.heard) < count:
+            await asyncio.sleep(0.01)
+    await node.close()
+    assert processor.lost == 0
