Bound how many workers a new owner calls at once

A new owner called all listed workers in one step. With 3,000 of them the calls need more of its processor than their time-out of 0.7 s: most answers came too late to be read, the workers counted as silent, and all were called again 0.4 s later by new connections. No work is placed on silent workers.

Calls that are to be answered at once now share a bound of 128; those to silent workers have one of their own. The first call to a worker no longer waits for an end, so that it frees its place soon.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -18,6 +18,7 @@
 from larkhoist.control.tenure_keeper import TenureKeeper
 from larkhoist.control.worker_clock import WorkerClock
 from larkhoist.control.worker_session import (
+    CallLimits,
     Message,
     ReportAnswer,
     SessionTimes,
@@ -127,6 +128,7 @@
         )
         self.scheduler: FleetScheduler | None = None
         self._sessions: dict[str, WorkerSession] = {}
+        self._limits = CallLimits()
         self._inbox: list[Message] = []
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
@@ -431,6 +433,7 @@
             self._create_port(name, address),
             lambda: self._tenure.token,
             self._times,
+            self._limits,
             incarnation,
             clock,
             self._grant_lease,
--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from returns.result import Failure, Result, Success
 
@@ -22,6 +22,7 @@
 from larkhoist.problem import Problem
 
 __all__ = [
+    "CallLimits",
     "GrantLease",
     "GrantStart",
     "Message",
@@ -78,6 +79,9 @@
     code: Code | None
 
 
+MOST_CALLS = 128
+"""How many calls may wait for the owner's processor at once; with 1 ms each, all are
+done well within their time-out."""
 GrantLease = Callable[[str, float], float | None]
 GrantStart = Callable[[StartTask, float], float | None]
 Message = ReportAnswer | StartAnswer | StartDropped | StopAnswer
@@ -111,6 +115,23 @@
         return int(1000 * min(self.longest_wait_s, lease_s * self.wait_share))
 
 
+@dataclass(frozen=True, slots=True)
+class CallLimits:
+    """Bound the calls of all sessions that are to be answered at once.
+
+    Calls that are made together share one processor: each of thousands would get too
+    little of it within its time-out. Calls to silent workers mostly last until their
+    time-out and have a bound of their own, so that others don't wait for them.
+    """
+
+    prompt: asyncio.Semaphore = field(
+        default_factory=lambda: asyncio.Semaphore(MOST_CALLS)
+    )
+    silent: asyncio.Semaphore = field(
+        default_factory=lambda: asyncio.Semaphore(MOST_CALLS)
+    )
+
+
 class WorkerSession:
     """Own the calls to one worker and tell the owner what comes of them.
 
@@ -128,6 +149,7 @@
         port: TaskWorkerPort,
         get_token: Callable[[], int],
         times: SessionTimes,
+        limits: CallLimits,
         incarnation: Incarnation,
         clock: WorkerClock,
         grant_lease: GrantLease,
@@ -141,6 +163,7 @@
         self._token = get_token()
         self._needs_higher_token = False
         self._times = times
+        self._limits = limits
         self._incarnation = incarnation
         self._clock = clock
         self._grant_lease = grant_lease
@@ -148,6 +171,7 @@
         self._tell = tell
         self._busy = True
         self._silent = False
+        self._has_answered = False
         self._has_unanswered_call = False
         self._acknowledged = 0
         self._to_acknowledge = 0
@@ -218,14 +242,42 @@
         if not self._refresh_token():
             await asyncio.sleep(self._times.token_pause_s)
             return
+        if self._may_wait:
+            result = await self._ask_once(waits=True)
+        else:
+            async with self._call_limit:
+                result = await self._ask_once(waits=False)
+        match result:
+            case Success(report):
+                await self._wait_for_log(report)
+            case Failure(_):
+                await asyncio.sleep(self._times.silent_pause_s)
+
+    @property
+    def _may_wait(self) -> bool:
+        """Tell whether the next call may wait for an end.
+
+        The first answer is wanted at once, and a clock that was never heard of grants
+        no lease.
+        """
+        is_responsive = self._has_answered and not (
+            self._silent or self._has_unanswered_call
+        )
+        return self._busy and is_responsive and self._clock.is_known
+
+    @property
+    def _call_limit(self) -> asyncio.Semaphore:
+        return self._limits.silent if self._silent else self._limits.prompt
+
+    async def _ask_once(self, waits: bool) -> Result[WorkerReport, Problem] | None:
+        # The worker may have restarted while the call waited for its turn.
+        if not self._refresh_token():
+            return None
         now_s = read_steady_s()
         lease_s = None if self._silent else self._grant_lease(self._name, now_s)
         lease_until_ms = None
         if lease_s is not None:
             lease_until_ms = self._clock.get_lease_until_ms(now_s, lease_s)
-        # A clock that was never heard of grants no lease: its answer can't wait.
-        is_responsive = not (self._silent or self._has_unanswered_call)
-        waits = self._busy and is_responsive and self._clock.is_known
         wait_ms = self._times.get_wait_ms(lease_s) if waits else 0
         acknowledged = self._get_acknowledgement()
         call = LeaseCall(self._token, acknowledged, lease_until_ms, wait_ms)
@@ -233,21 +285,25 @@
         result = await self._renew(call, now_s)
         self._acked.clear()
         if result is None:
-            return
+            return None
         self._tell(ReportAnswer(self._name, now_s, result))
         match result:
-            case Success(report):
+            case Success(_):
                 self._silent = False
+                self._has_answered = True
                 if self._is_current(call.token):
                     self._acknowledged = max(self._acknowledged, acknowledged)
-                await self._wait_for_log(report)
             case Failure(_):
                 # A lease that is not answered may have been renewed. It is not
                 # renewed again until the worker answers, so that it surely ends.
                 self._silent = True
-                await asyncio.sleep(self._times.silent_pause_s)
+        return result
 
     async def _probe(self) -> None:
+        async with self._call_limit:
+            await self._probe_once()
+
+    async def _probe_once(self) -> None:
         if not self._refresh_token():
             self._handle_unanswered_call()
             return
--- a/tests/control/test_worker_session.py
+++ b/tests/control/test_worker_session.py
@@ -8,6 +8,7 @@
 from larkhoist.codes import Code
 from larkhoist.control.worker_clock import WorkerClock
 from larkhoist.control.worker_session import (
+    CallLimits,
     Message,
     ReportAnswer,
     SessionTimes,
@@ -57,6 +58,7 @@
         worker,
         get_token,
         QUICK,
+        CallLimits(),
         Incarnation(started_ms, read_steady_s()),
         clock or WorkerClock(0, read_steady_s()),
         lambda *_: lease_s,
