Add a failing test of reservations that ignore spread limits

Reservations._pick counts how many members of a gang fit into a worker's room, not how many its spread limit lets it have. For a gang of two with a limit of one, one worker is reserved; it stays idle for others and the gang can't start with it. Not fixed here.

--- a/tests/fleet/test_reservations.py
+++ b/tests/fleet/test_reservations.py
@@ -126,3 +126,16 @@
     used = {r.worker for r in machine.world.history if r.task.startswith(narrow.job_id)}
     assert used
     assert not used & kept
+
+
+def test_a_gang_reserves_as_many_workers_as_its_spread_limit_needs():
+    # A worker that holds only one member was reserved for a gang of three, in vain.
+    filler = make_job(1, StepSpec(20, accelerators=7, estimate_ms=20_000))
+    spec = StepSpec(2, accelerators=2, estimate_ms=2000, gang=True, spread_limit=1)
+    gang = make_job(2, spec, target_ms=60_000)
+    machine = make_machine(20, (filler, gang), work_s=20.0)
+    machine.submit(filler)
+    machine.run(1)
+    machine.submit(gang)
+    machine.run(1)
+    assert len(get_reserved(machine, gang)) == 2
