--- a/tests/control/test_worker_session.py
+++ b/tests/control/test_worker_session.py
@@ -50,6 +50,7 @@
     grant_start=None,
     get_token=lambda: 1,
     started_ms=0,
+    limits=None,
 ) -> WorkerSession:
     """Return a session with a worker whose clock was just heard of, at 0."""
     return WorkerSession(
@@ -58,7 +59,7 @@
         worker,
         get_token,
         QUICK,
-        CallLimits(),
+        limits or CallLimits(),
         Incarnation(started_ms, read_steady_s()),
         clock or WorkerClock(0, read_steady_s()),
         lambda *_: lease_s,
@@ -386,3 +387,54 @@
     await session.close()
     (answer,) = [message for message in told if isinstance(message, StartAnswer)]
     assert answer.code is Code.ORDER_TOO_LATE
+
+
+class UnreachableWorker:
+    """Leave the first call unanswered at once, and later ones until ``gives_up``."""
+
+    def __init__(self):
+        self.call_count = 0
+        self.gives_up = asyncio.Event()
+
+    async def renew(self, call):
+        self.call_count += 1
+        if self.call_count > 1:
+            await self.gives_up.wait()
+        return Failure(Problem(Code.WORKER_SILENT))
+
+
+async def test_a_first_call_does_not_wait_for_calls_to_silent_workers():
+    limits = CallLimits(asyncio.Semaphore(1), asyncio.Semaphore(1))
+    unreachable, worker = UnreachableWorker(), MuteWorker()
+    silent = make_session(unreachable, limits=limits)
+    await silent.start()
+    async with asyncio.timeout(10):
+        while unreachable.call_count < 2:
+            await asyncio.sleep(0.005)
+    session = make_session(worker, limits=limits)
+    await session.start()
+    async with asyncio.timeout(10):
+        while not worker.calls:
+            await asyncio.sleep(0.005)
+    await session.close()
+    await silent.close()
+
+
+async def test_a_call_that_waits_for_its_turn_is_not_sent_to_a_later_incarnation():
+    # Delayed calls to the former incarnation would act in the later one.
+    limits = CallLimits(asyncio.Semaphore(0), asyncio.Semaphore(0))
+    worker, tokens = RestartingWorker(), [5]
+    session = make_session(
+        worker, get_token=lambda: tokens[0], started_ms=1000, limits=limits
+    )
+    await session.start()
+    await asyncio.sleep(0.05)
+    worker.started_ms = 2000
+    assert session.update_incarnation(2000)
+    limits.prompt.release()
+    await asyncio.sleep(0.1)
+    assert worker.calls == []
+    tokens[0] = 6
+    await wait_for_calls(worker, 1)
+    await session.close()
+    assert worker.calls[0].token == 6
