Reserve workers beside the tasks that last there

Cause: no worker with a task that lasts was reserved any more, so that where each worker has one, as after departures, no gang got workers of its own, though it fits beside those tasks.

What such tasks take is now left out of the room that is counted on, and the end of the other tasks alone is waited for. A worker on which the gang does not fit beside them is not reserved.

Evidence: the case of test_shrunken_fleets.py fails without the change.

--- a/src/larkhoist/fleet/reservations.py
+++ b/src/larkhoist/fleet/reservations.py
@@ -6,7 +6,6 @@
 its own until it starts, ends or can't be in time any more.
 """
 
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -15,6 +14,7 @@
 from larkhoist.fleet.task import Phase, Task, TaskState
 from larkhoist.fleet.worker import FleetWorker
 from larkhoist.jobs.records import PhaseId
+from larkhoist.ports.fleet import Resources
 
 if TYPE_CHECKING:
     from larkhoist.fleet.state import FleetState
@@ -95,14 +95,17 @@
             for worker in group.workers
             if worker.name not in self._holders
         ]
-        drains = [one for one in drains if one[0] < math.inf]
         drains.sort(key=lambda one: one[:2])
         names = set()
         room = 0
         limit = phase.spec.spread_limit
         for drain_s, name, worker in drains:
+            drained = get_drained_room(state, worker)
+            fitting = count_fitting(drained, phase.need, limit, 0)
+            if not fitting:
+                continue
             names.add(name)
-            room += count_fitting(worker.capacity, phase.need, limit, 0)
+            room += fitting
             if room >= count:
                 return Reservation(phase.id, frozenset(names), now_s + drain_s)
         return None
@@ -111,25 +114,33 @@
 def get_drain_s(
     state: "FleetState", worker: FleetWorker, phase: Phase, now_s: float
 ) -> float:
-    """Return how long a worker takes until ``phase`` could have all of it.
-
-    Infinite where a task that lasts runs.
-    """
+    """Return how long a worker takes until only tasks that last run there."""
     return max(
         (
             _get_left_s(state, other, task, now_s)
             for other, task in state.list_tasks_on(worker)
+            if not _lasts(other, task)
         ),
         default=0.0,
     )
 
 
+def get_drained_room(state: "FleetState", worker: FleetWorker) -> Resources:
+    """Return the room of a worker on which only tasks that last run."""
+    lasting = (
+        other.need for other, task in state.list_tasks_on(worker) if _lasts(other, task)
+    )
+    return worker.capacity - sum(lasting, Resources())
+
+
+def _lasts(phase: Phase, task: Task) -> bool:
+    return phase.spec.long_running and task.state is not TaskState.STOPPING
+
+
 def _get_left_s(state: "FleetState", phase: Phase, task: Task, now_s: float) -> float:
     stop_s = state.policy.stop_s
     if task.state is TaskState.STOPPING:
         return stop_s
-    if phase.spec.long_running:
-        return math.inf
     if phase.spec.checkpoints:
         return stop_s
     queue = state.jobs[phase.id.job_id].job.queue
--- a/tests/fleet/test_shrunken_fleets.py
+++ b/tests/fleet/test_shrunken_fleets.py
@@ -271,6 +271,21 @@
     assert run.worker not in kept
 
 
+def test_workers_are_reserved_beside_tasks_that_last_on_all_of_them():
+    step = StepSpec(8, accelerators=5, estimate_ms=20_000, spread_limit=1)
+    lasting = make_job(
+        1, StepSpec(8, accelerators=1, long_running=True, spread_limit=1)
+    )
+    load = make_job(2, replace(step, checkpoints=True))
+    gang = make_job(3, StepSpec(1, accelerators=7, estimate_ms=2000, gang=True))
+    machine = make_machine(8, (lasting, load, gang), work_s=WORK_S)
+    fill(machine, lasting)
+    fill(machine, load)
+    machine.submit(gang)
+    machine.run(1.0)
+    assert get_reserved(machine, gang)
+
+
 @pytest.mark.parametrize("tasks", [1, 2])
 def test_guaranteed_work_begins_in_time_where_guarantees_exceed_what_is_left(tasks):
     machine, first, job = make_beyond_guarantees(tasks)
