Give up reservations that tasks that last have taken room of

Cause: a task that lasts may start on reserved workers. Where the gang did not fit beside it, the reservation stayed all the same: the gang waited for room that never came free, and nothing else used what was idle there.

A reservation is now given up as soon as the gang does not fit into its workers beside the tasks that last; the gang may get other workers at once.

Evidence: the case of test_reservations.py fails without the change.

--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -87,6 +87,7 @@
             {one.phase.id for one in waiting if one.rank.tier <= Tier.LATE},
             {worker.name for worker in self.usable},
         )
+        self.state.reservations.drop_too_small(self.state)
         for one in waiting:
             self._place(one.rank, one.active, one.phase)
 
--- a/src/larkhoist/fleet/reservations.py
+++ b/src/larkhoist/fleet/reservations.py
@@ -55,6 +55,15 @@
             if phase not in waiting or not kept.workers <= usable:
                 self.drop(phase)
 
+    def drop_too_small(self, state: "FleetState") -> None:
+        """Drop what a phase does not fit into beside tasks that last."""
+        for phase_id, kept in list(self._held.items()):
+            phases = state.jobs[phase_id.job_id].phases
+            phase = phases[(phase_id.run, phase_id.step)]
+            workers = [state.workers[name] for name in kept.workers]
+            if count_drained_room(state, workers, phase) < len(phase.tasks):
+                self.drop(phase_id)
+
     def drop(self, phase: PhaseId) -> None:
         """Give back what is reserved for a phase."""
         kept = self._held.pop(phase, None)
@@ -98,10 +107,8 @@
         drains.sort(key=lambda one: one[:2])
         names = set()
         room = 0
-        limit = phase.spec.spread_limit
         for drain_s, name, worker in drains:
-            drained = get_drained_room(state, worker)
-            fitting = count_fitting(drained, phase.need, limit, 0)
+            fitting = count_drained_room(state, [worker], phase)
             if not fitting:
                 continue
             names.add(name)
@@ -133,6 +140,15 @@
     return worker.capacity - sum(lasting, Resources())
 
 
+def count_drained_room(
+    state: "FleetState", workers: Iterable[FleetWorker], phase: Phase
+) -> int:
+    """Return how many tasks of ``phase`` fit beside tasks that last."""
+    need, limit = phase.need, phase.spec.spread_limit
+    rooms = (get_drained_room(state, worker) for worker in workers)
+    return sum(count_fitting(room, need, limit, 0) for room in rooms)
+
+
 def _lasts(phase: Phase, task: Task) -> bool:
     return phase.spec.long_running and task.state is not TaskState.STOPPING
 
--- a/tests/fleet/test_reservations.py
+++ b/tests/fleet/test_reservations.py
@@ -139,3 +139,24 @@
     machine.submit(gang)
     machine.run(1)
     assert len(get_reserved(machine, gang)) == 2
+
+
+def test_a_worker_is_kept_no_longer_once_a_task_that_lasts_has_taken_its_room():
+    step = StepSpec(20, accelerators=4, estimate_ms=60_000, spread_limit=1)
+    load = make_job(1, step)
+    rest = make_job(2, replace(step, count=2, label="r0"))
+    lasting = make_job(3, StepSpec(1, accelerators=1, label="r0", long_running=True))
+    gang = make_job(900, WIDE, target_ms=200_000)
+    machine = make_machine(20, (load, rest, lasting, gang), work_s=60.0)
+    for job in (load, gang, rest):
+        machine.submit(job)
+        machine.run(1)
+    kept = get_reserved(machine, gang)
+    assert len(kept) == 2
+    machine.submit(lasting)
+    machine.run(4)
+    (run,) = [r for r in machine.world.history if r.task.startswith(lasting.job_id)]
+    assert run.worker in kept
+    renewed = get_reserved(machine, gang)
+    assert len(renewed) == 2
+    assert run.worker not in renewed
