Count guaranteed work as begun only once it has run

Cause: guaranteed work may stop that of others until all its first tasks have begun, and be stopped itself from then on. An order to start counted as a beginning. Work whose first start was refused lost its claim before it had run, and began late (RECLAIM); a start on its way, which costs least to stop, could be stopped before it had run.

A task now counts as begun once a worker has said that it runs or has ended. A new owner does not know that of tasks with attempts, and takes each for begun as before.

Evidence: of the two cases of test_shrunken_fleets.py the one with refusals that last fails without the change and passes with it. test_interleavings, test_departures, test_claims, test_cordons, test_crashes and test_owner_changes fail in the known red ones alone.

--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -93,7 +93,7 @@
     match code:
         case None:
             state.workers[task.worker].refused_pause_s = 0.0
-            task.seen_running = True
+            task.note_running()
             task.settled_s = min(task.settled_s, now_s)
             if task.state is TaskState.STARTING:
                 task.state = TaskState.RUNNING
@@ -202,6 +202,7 @@
     if found is None:
         return
     phase, task = found
+    task.has_begun = True
     match ended.kind:
         case EndKind.DONE:
             _take_done(state, worker, phase, task, now_s)
@@ -267,7 +268,7 @@
     if task.state is TaskState.STARTING:
         task.state = TaskState.RUNNING
     # It has begun, and no attempt begins twice on one worker.
-    task.seen_running = True
+    task.note_running()
     task.worker_started_ms = worker.incarnation.started_ms
     task.settled_s = min(task.settled_s, now_s)
     if running.checkpoint and running.checkpoint != task.checkpoint:
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -248,6 +248,7 @@
         if task.is_on_worker:
             self._note_over(task, proof, now_s)
         self._vacate(phase, task)
+        task.has_begun = True
         task.state = TaskState.DONE
         task.checkpoint = ""
         self.suspects.discard(task.name)
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -37,6 +37,7 @@
     From ``settled_s`` on no order given before can begin the attempt any more, so
     that a report asked for later tells for certain whether it runs. ``seen_running``
     tells that the worker itself has said that the attempt runs, to this owner.
+    ``has_begun`` tells that any attempt has run; another owner takes each for begun.
     ``lost`` counts the workers that were lost under it. ``worker_started_ms`` is the
     start time of the worker incarnation that the attempt was assigned to, 0 if unknown.
     """
@@ -56,6 +57,7 @@
     stop_sent_s: float = float("-inf")
     failed_on: set[str] = field(default_factory=set)
     seen_running: bool = False
+    has_begun: bool = False
     lost: LostWorkers = LostWorkers()
 
     @property
@@ -63,6 +65,11 @@
         """Tell whether the task may run somewhere."""
         return self.state in ON_WORKER
 
+    def note_running(self) -> None:
+        """Note that the worker has said that the attempt runs."""
+        self.seen_running = True
+        self.has_begun = True
+
     def get_unsaved_s(self, now_s: float) -> float:
         """Return how much work would be lost by a stop, in seconds."""
         if self.state is not TaskState.RUNNING:
@@ -237,9 +244,9 @@
 
     @property
     def has_begun_whole(self) -> bool:
-        """Tell whether all tasks of the first run's first steps have been started."""
+        """Tell whether all tasks of the first run's first steps have begun."""
         return all(
-            task.attempt > 0
+            task.has_begun
             for phase in self.get_phases(0)
             if not phase.spec.depends_on
             for task in phase.tasks
@@ -281,6 +288,7 @@
 
 def _restore(task: Task, kept: TaskProgress) -> None:
     task.attempt = kept.attempt
+    task.has_begun = kept.attempt > 0
     task.failures = kept.failures
     task.lost = kept.lost
     task.checkpoint = kept.checkpoint
--- a/tests/fleet/test_shrunken_fleets.py
+++ b/tests/fleet/test_shrunken_fleets.py
@@ -325,3 +325,22 @@
 
 def count_runs(machine: FleetMachine, job: StagedJob) -> int:
     return sum(run.task.startswith(job.job_id) for run in machine.world.history)
+
+
+@pytest.mark.parametrize("refused_s", [0.5, 20.0])
+def test_guaranteed_work_whose_first_start_was_refused_begins_in_time(refused_s):
+    first = make_job(1, StepSpec(4, accelerators=8, gang=True), priority=0)
+    job = make_job(
+        2, StepSpec(2, accelerators=8, gang=True), priority=0, customer="bob"
+    )
+    machine = make_machine(6, (first, job), {"ann": 32, "bob": 16}, work_s=WORK_S)
+    fill(machine, first)
+    for name in {"w0", "w1", "w2", "w3", "w4", "w5"} - get_used(machine):
+        machine.world.workers[name].refusing_until_s = machine.now_s + refused_s
+    machine.submit(job)
+    machine.run(RECLAIM_S)
+    assert count_running(machine, job) == 2
+
+
+def get_used(machine: FleetMachine) -> set[str]:
+    return {worker.name for worker in machine.world.workers.values() if worker.runs}
