Test again that work on a full fleet uses reserved workers

The users' text for calm times can be read of any job, however full the service is, and CalmLook does read it so: a job of one accelerator stands for 25.9 s beside room for two and more (1 and 4 accelerators free on each of two reserved workers).

--- a/tests/fleet/test_shrunken_fleets.py
+++ b/tests/fleet/test_shrunken_fleets.py
@@ -13,6 +13,7 @@
 from tests.fleet.cases import make_job, make_machine
 from tests.fleet.checks import check_history
 from tests.fleet.machine import FleetMachine
+from tests.fleet.progress import CalmLook
 from tests.fleet.test_reservations import get_reserved
 
 LONGEST_S = 3.0
@@ -103,8 +104,31 @@
     assert get_wait_beside_reserved_s(free, job) <= LONGEST_S
 
 
+@pytest.mark.parametrize("free", [1, 4])
+def test_reserved_workers_are_used_when_the_rest_of_the_fleet_is_full(free):
+    assert get_wait_beside_reserved_s(free, make_job(4, ONE)) <= LONGEST_S
+
+
+@pytest.mark.parametrize("free", [1, 4])
+def test_no_work_stands_still_by_the_rule_for_calm_times_beside_reserved_workers(free):
+    job = make_job(4, replace(ONE, cpu_milli=4000))
+    machine = make_beside_reserved(free, job)
+    machine.submit(job)
+    calm = CalmLook()
+    until_s = machine.now_s + CALM_S + 2 * LONGEST_S
+    while machine.now_s < until_s:
+        machine.step()
+        calm.look(machine)
+    assert calm.stills.found == {}
+
+
 def get_wait_beside_reserved_s(free: int, job: StagedJob) -> float:
-    """Return how long a job waits where a gang has all workers with room reserved.
+    """Return how long a job waits where a gang has all workers with room reserved."""
+    return get_wait_s(make_beside_reserved(free, job), job)
+
+
+def make_beside_reserved(free: int, job: StagedJob) -> FleetMachine:
+    """Return a machine on which a gang has all workers with room reserved.
 
     ``free`` accelerators of each of two such workers are idle, and all processors.
     """
@@ -126,7 +150,7 @@
     machine.run(5.0)
     fill(machine, rest)
     assert get_reserved(machine, gang) == kept
-    return get_wait_s(machine, job)
+    return machine
 
 
 def test_full_workers_that_leave_do_not_count_as_used_room():
