Test that guaranteed work is not stopped before it has begun

A start on its way costs least to stop, and counted as a beginning until the claim of guaranteed work was tied to what has run.

--- a/tests/fleet/test_shrunken_fleets.py
+++ b/tests/fleet/test_shrunken_fleets.py
@@ -9,6 +9,8 @@
 import pytest
 from msgspec.structs import replace
 
+from larkhoist.fleet.task import Task
+from larkhoist.fleet.victim import Victim, iter_victims
 from larkhoist.jobs.spec import StagedJob, StepSpec
 from tests.fleet.cases import make_job, make_machine
 from tests.fleet.checks import check_history
@@ -368,3 +370,28 @@
 
 def get_used(machine: FleetMachine) -> set[str]:
     return {worker.name for worker in machine.world.workers.values() if worker.runs}
+
+
+def test_guaranteed_work_is_not_stopped_before_it_has_begun():
+    job = make_job(1, WHOLE, priority=0)
+    machine = make_machine(2, (job,), {"ann": 16}, work_s=WORK_S)
+    machine.run(1.0)
+    machine.submit(job)
+    while not list_tasks(machine, job):
+        machine.step()
+    assert count_running(machine, job) == 0
+    assert not list_victims(machine)
+    machine.run(1.0)
+    assert count_running(machine, job) == 1
+    assert list_victims(machine)
+
+
+def list_tasks(machine: FleetMachine, job: StagedJob) -> list[Task]:
+    """Return the tasks of a job that may run somewhere."""
+    active = machine.owner.scheduler.state.jobs.get(job.job_id)
+    phases = active.phases.values() if active is not None else ()
+    return [task for phase in phases for task in phase.tasks if task.is_on_worker]
+
+
+def list_victims(machine: FleetMachine) -> list[Victim]:
+    return list(iter_victims(machine.owner.scheduler.state, machine.now_s))
