--- a/tests/fleet/test_shrunken_fleets.py
+++ b/tests/fleet/test_shrunken_fleets.py
@@ -155,6 +155,18 @@
     return machine
 
 
+def test_tasks_that_last_leave_the_rack_of_their_data_however_full_the_rest_is():
+    load = make_job(1, StepSpec(count=4, accelerators=8, data_rack="r0"))
+    near = make_job(2, StepSpec(count=4, accelerators=8, data_rack="r1"))
+    step = StepSpec(1, accelerators=1, data_rack="r0", long_running=True)
+    job = make_job(3, step)
+    machine = make_machine(12, (load, near, job), work_s=WORK_S)
+    machine.run(1.0)
+    fill(machine, load)
+    fill(machine, near)
+    assert get_wait_s(machine, job) <= LONGEST_S
+
+
 def test_full_workers_that_leave_do_not_count_as_used_room():
     machine, job = make_full_beside_idle()
     leave(machine, name_workers(0, 4), 40.0)
