Stop guaranteed work for one job of another customer only

Guaranteed work now yields to one job alone, so that it is stopped for one beginning and then runs to its end; the same job may claim again if its start was refused.

test_guaranteed_work_was_stopped_for_each_new_job_of_another_customer failed before.

--- a/src/larkhoist/fleet/preemption.py
+++ b/src/larkhoist/fleet/preemption.py
@@ -32,20 +32,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """Hold what decides whom a claimant may stop.
-
-    ``over_firm`` is the customer for whom guaranteed work of others is stopped as well,
-    None for nobody.
-    """
+    """Hold what decides whom a claimant may stop."""
 
     priority: int
     firm: bool
-    over_firm: str | None = None
 
     def may_stop(self, victim: Victim) -> bool:
         """Tell whether a victim may be stopped."""
-        if victim.firm:
-            return self.over_firm not in (None, victim.customer)
         return self.firm or victim.priority > self.priority
 
 
@@ -136,16 +129,21 @@
 
 
 class VictimIndex:
-    """Hold by worker what may be stopped there, for one pass at one time."""
+    """Hold by worker what may be stopped there, for one pass at one time.
+
+    Guaranteed work is left out, but for what the job ``firm_for`` may stop of it.
+    """
 
-    def __init__(self, state: FleetState, now_s: float):
+    def __init__(
+        self, state: FleetState, now_s: float, firm_for: ActiveJob | None = None
+    ):
         self._by_worker: dict[str, list[LocalVictim]] = defaultdict(list)
         self._curves: dict[tuple[Resources, Claim], dict[str, _Curve]] = defaultdict(
             dict
         )
         self._estimates: dict[tuple, _Estimate] = {}
         self._prices: dict[Claim, dict[str, tuple[float, int]]] = defaultdict(dict)
-        for victim in iter_victims(state, now_s):
+        for victim in iter_victims(state, now_s, firm_for):
             for name in victim.workers:
                 self._by_worker[name].append(make_local(victim, name))
 
--- a/src/larkhoist/fleet/room_maker.py
+++ b/src/larkhoist/fleet/room_maker.py
@@ -1,7 +1,5 @@
 """Make room for urgent phases by stopping others, and keep it until it is free."""
 
-from dataclasses import replace
-
 from larkhoist.fleet.placing import WorkerGroups
 from larkhoist.fleet.preemption import VictimIndex, make_claim
 from larkhoist.fleet.state import FleetState
@@ -34,30 +32,37 @@
 
         ``latest_s`` is the latest start at which the phase is still in time.
         """
-        if self._victims is None:
-            self._victims = VictimIndex(self._state, self._now_s)
         count = len(phase.get_waiting())
         taken = phase.count_taken()
         claim = make_claim(active)
         wanted = groups.list_groups(phase.spec, len(phase.tasks))
-        room = self._victims.find_room(wanted, phase.spec, count, taken, claim)
+        victims = self._get_victims()
+        room = victims.find_room(wanted, phase.spec, count, taken, claim)
         if room is None and active.firm:
             wanted = [groups.whole]
-            room = self._victims.find_room(wanted, phase.spec, count, taken, claim)
+            room = victims.find_room(wanted, phase.spec, count, taken, claim)
         if room is None and self._is_due(active, phase):
-            claim = replace(claim, over_firm=active.job.customer)
-            room = self._victims.find_room(wanted, phase.spec, count, taken, claim)
+            victims = VictimIndex(self._state, self._now_s, active)
+            room = victims.find_room(wanted, phase.spec, count, taken, claim)
         if room is None:
             return False
         if not active.firm and not self._is_worth(phase, room.cost, latest_s):
             return False
         for victim in room.victims:
-            self._victims.drop(victim)
+            victims.drop(victim)
             self._stop_victim(phase, victim)
+        if victims is not self._victims:
+            # It still holds what has just been stopped by another index.
+            self._victims = None
         waiting = [task.index for task in phase.get_waiting()]
         self._state.keep_plan(phase, dict(zip(waiting, room.places, strict=True)))
         return True
 
+    def _get_victims(self) -> VictimIndex:
+        if self._victims is None:
+            self._victims = VictimIndex(self._state, self._now_s)
+        return self._victims
+
     def start_planned(self, phase: Phase) -> bool:
         """Start a phase for which room is kept, once the room is free.
 
@@ -107,6 +112,9 @@
             cost_core_s=round(victim.cost, 1),
             claimant=phase.id.job_id,
         )
+        holder = self._state.jobs[victim.phase.id.job_id]
+        if holder.firm:
+            holder.yielded_to = phase.id.job_id
         for task in victim.tasks:
             self._state.stop(victim.phase, task, self._now_s)
         if victim.phase.spec.gang:
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -216,7 +216,8 @@
 class ActiveJob:
     """Hold one job that has not ended, or whose tasks still have to stop.
 
-    ``given_up`` tells that too many workers were lost under one of its tasks.
+    ``given_up`` tells that too many workers were lost under one of its tasks,
+    ``yielded_to`` for which other customer's job its guaranteed work was stopped.
     """
 
     job: StagedJob
@@ -226,6 +227,7 @@
     begun: bool = False
     firm: bool = False
     given_up: bool = False
+    yielded_to: str = ""
 
     @property
     def priority(self) -> int:
--- a/src/larkhoist/fleet/victim.py
+++ b/src/larkhoist/fleet/victim.py
@@ -13,16 +13,13 @@
 class Victim:
     """Hold tasks that are stopped together; ``cost`` is in core-seconds.
 
-    ``priority`` is that of their job, ``firm`` whether it is covered by the guarantee
-    of ``customer``.
+    ``priority`` is that of their job.
     """
 
     phase: Phase
     tasks: tuple[Task, ...]
     cost: float
     priority: int
-    firm: bool
-    customer: str
 
     @property
     def workers(self) -> set[str]:
@@ -30,15 +27,18 @@
         return {task.worker for task in self.tasks}
 
 
-def iter_victims(state: FleetState, now_s: float) -> Iterator[Victim]:
+def iter_victims(
+    state: FleetState, now_s: float, firm_for: ActiveJob | None = None
+) -> Iterator[Victim]:
     """Yield what may be stopped at all: single tasks, or gangs as a whole.
 
-    Guaranteed work is among it once it has begun as it was promised to.
+    Guaranteed work is among it for the job ``firm_for`` alone, where it is another
+    customer's and has begun as it was promised to. It yields to one job only.
     """
     for active, phase in state.iter_phases():
         if active.ended or phase.spec.long_running:
             continue
-        if active.firm and not active.has_begun_whole:
+        if active.firm and not _may_yield(active, firm_for):
             continue
         running = [
             task
@@ -50,14 +50,16 @@
         lateness = _get_lateness_cost(state, active, phase)
         for unit in [running] if phase.spec.gang else [[task] for task in running]:
             cost = phase.get_cost(unit, now_s, state.policy.restore_s) + lateness
-            yield Victim(
-                phase,
-                tuple(unit),
-                cost,
-                active.priority,
-                active.firm,
-                active.job.customer,
-            )
+            yield Victim(phase, tuple(unit), cost, active.priority)
+
+
+def _may_yield(active: ActiveJob, claimant: ActiveJob | None) -> bool:
+    """Tell whether guaranteed work may be stopped for that of another customer."""
+    if claimant is None or active.job.customer == claimant.job.customer:
+        return False
+    if active.yielded_to not in ("", claimant.job.job_id):
+        return False
+    return active.has_begun_whole
 
 
 def _get_lateness_cost(state: FleetState, active: ActiveJob, phase: Phase) -> float:
--- a/tests/fleet/test_shrunken_fleets.py
+++ b/tests/fleet/test_shrunken_fleets.py
@@ -9,7 +9,7 @@
 import pytest
 from msgspec.structs import replace
 
-from larkhoist.fleet.task import Task
+from larkhoist.fleet.task import ActiveJob, Task
 from larkhoist.fleet.victim import Victim, iter_victims
 from larkhoist.jobs.spec import StagedJob, StepSpec
 from tests.fleet.cases import make_job, make_machine
@@ -337,6 +337,27 @@
     check_history(machine)
 
 
+def test_guaranteed_work_was_stopped_for_each_new_job_of_another_customer():
+    first = make_job(1, StepSpec(4, accelerators=8, gang=True), priority=0)
+    later = [
+        make_job(
+            number,
+            StepSpec(2, accelerators=8, gang=True),
+            priority=0,
+            customer="bob",
+        )
+        for number in range(2, 10)
+    ]
+    guarantees = {"ann": 32, "bob": 16}
+    machine = make_machine(4, (first, *later), guarantees, work_s=SHORT_S)
+    fill(machine, first)
+    for job in later:
+        machine.submit(job)
+        machine.run(5.0)
+    assert count_runs(machine, first) == 2 * first.steps[0].count
+    check_history(machine)
+
+
 def test_guaranteed_work_that_ends_soon_is_not_stopped_for_other_such_work():
     machine, first, job = make_beyond_guarantees(2)
     machine.run(SHORT_S - 2.0)
@@ -406,4 +427,6 @@
 
 
 def list_victims(machine: FleetMachine) -> list[Victim]:
-    return list(iter_victims(machine.owner.scheduler.state, machine.now_s))
+    state = machine.owner.scheduler.state
+    claimant = ActiveJob(make_job(2, WHOLE, priority=0, customer="bob"), 0.0)
+    return list(iter_victims(state, machine.now_s, claimant))
