Acknowledge no ends to a worker that left a call unanswered

By the history the worker had restarted under its name; ends of its new life were gone from the next report, though acknowledged only 0.3 s after it, as if a number of the former life had been acknowledged to the new one.

Cause, by reading and a test: a session sends no acknowledgement while its own reports have no answer, but it did so after a start or stop that had none. A worker that crashed and came back within that time takes the number for its own and forgets what it ends up to it. The test failed before in three of three runs: the next report acknowledged 2.

The next report now acknowledges nothing after any call without an answer; once that report is answered, the life of the worker is known. A worker that restarts between two answered calls is still open.

--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -342,11 +342,13 @@
     def _get_acknowledgement(self) -> int:
         """Return the end number that the next call acknowledges, 0 for none.
 
-        Nothing is acknowledged while the worker is silent: it may have restarted, and
-        would drop ends with the same numbers that have not been reported yet.
+        Nothing is acknowledged after a call without an answer: the worker may have
+        restarted, and would drop ends with the same numbers that have not been reported
+        yet.
         """
         is_pending = self._to_acknowledge > self._acknowledged
-        return self._to_acknowledge if is_pending and not self._silent else 0
+        is_responsive = not (self._silent or self._has_unanswered_call)
+        return self._to_acknowledge if is_pending and is_responsive else 0
 
     def _begin_incarnation(self, started_ms: int) -> None:
         """Discard the clock and the end numbers of the former incarnation."""
--- a/tests/control/test_worker_session.py
+++ b/tests/control/test_worker_session.py
@@ -335,6 +335,36 @@
     assert {call.acknowledged for call in later} == {0, 1}
 
 
+class StartLosingWorker(RestartingWorker):
+    """Answer reports, and no start."""
+
+    async def start_task(self, order):
+        return Failure(Problem(Code.WORKER_SILENT))
+
+
+async def test_a_worker_that_left_a_call_unanswered_forgot_ends_nobody_had_seen():
+    # It may have restarted since, and have ended other tasks by the same numbers.
+    worker, counts = StartLosingWorker(), []
+
+    def acknowledge_after_start(message: Message) -> None:
+        if isinstance(message, StartAnswer):
+            counts.append(len(worker.calls))
+            session.acknowledge(SeenEnds(1000, 2))
+
+    session = make_session(worker, tell=acknowledge_after_start, started_ms=1000)
+    await session.start()
+    await wait_for_calls(worker, 2)
+    session.order_start(ORDER)
+    async with asyncio.timeout(10):
+        while not counts:
+            await asyncio.sleep(0.005)
+    await wait_for_calls(worker, counts[0] + 3)
+    await session.close()
+    later = [call.acknowledged for call in worker.calls[counts[0] :]]
+    assert later[0] == 0
+    assert 2 in later
+
+
 async def test_a_restarted_worker_gets_no_call_before_the_token_has_increased():
     # Delayed calls to the former incarnation would act in the later one.
     worker, tokens = RestartingWorker(), [5]
