Count the room of standing steps once in a pass

Each of up to eight lines of one decision looked at every worker four times and counted the service's room anew, since the reasons of a wait were added to the line. The lines are the same.

--- a/src/larkhoist/fleet/wait_notes.py
+++ b/src/larkhoist/fleet/wait_notes.py
@@ -1,6 +1,7 @@
 """Log why phases wait, with what tells one reason from another."""
 
 from collections import Counter
+from dataclasses import dataclass
 
 from larkhoist.fleet.exclusion import count_exclusions, format_exclusions
 from larkhoist.fleet.placing import count_fitting, list_eligible
@@ -22,6 +23,20 @@
 still on 270 workers made it take 339 ms."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Look:
+    """Hold the room of the workers that may run a step, in numbers of its tasks.
+
+    ``by_rack`` counts that of ``usable`` workers; ``excluded`` is for the log.
+    """
+
+    usable: list[FleetWorker]
+    by_rack: Counter[str]
+    held_out: int
+    silent: int
+    excluded: str
+
+
 class WaitNotes:
     """Have it logged in one pass why phases wait."""
 
@@ -29,7 +44,8 @@
         self._state = state
         self._now_s = now_s
         self._used_share = round(used_share, 3)
-        self._rooms: dict[tuple, dict[str, int]] = {}
+        self._looks: dict[tuple, _Look] = {}
+        self._uses: dict[str, str] | None = None
         self._stands_left = MOST_STANDS
 
     def note(
@@ -81,72 +97,80 @@
         return STANDS if self._stands_left >= 0 else ""
 
     def _describe_stand(self, phase: Phase) -> dict[str, object]:
-        """Return what tells why a phase stands that has waited for long."""
+        """Return what tells why a phase stands that has waited for long.
+
+        ``held_out`` is the room on responsive workers that get no new work, ``silent``
+        the room on workers whose last call was not answered.
+        """
         service = self._state.jobs[phase.id.job_id].job.terms.service
-        workers = list_eligible(self._state.workers.values(), service, phase.spec)
+        look = self._get_look(phase, service)
         return {
-            **self._count_room(phase, service, workers),
-            "limited_room_for": self._count_limited_room(phase, workers),
-            "rack_room_for": self._count_rack_room(phase, workers),
+            "room_for": look.by_rack.total(),
+            "held_out": look.held_out,
+            "silent": look.silent,
+            "limited_room_for": self._count_limited_room(phase, look),
+            "rack_room_for": _get_rack_room(phase, look),
             "done": sum(task.state is TaskState.DONE for task in phase.tasks),
             "on_workers": sum(task.is_on_worker for task in phase.tasks),
-            "excluded": format_exclusions(
-                count_exclusions(self._state, workers, self._now_s)
-            ),
-            "service_used": self._describe_use(service),
+            "excluded": look.excluded,
+            "service_used": self._get_use(service),
         }
 
-    def _count_room(
-        self, phase: Phase, service: str, workers: list[FleetWorker]
-    ) -> dict[str, int]:
-        """Return for how many tasks there is room now, whatever is preferred.
-
-        ``held_out`` is the room on responsive workers that get no new work, ``silent``
-        the room on workers whose last call was not answered.
-        """
+    def _get_look(self, phase: Phase, service: str) -> _Look:
+        """Return the room for what a phase needs, counted once in a pass."""
         key = (service, phase.spec.label, phase.need)
-        if key not in self._rooms:
-            self._rooms[key] = self._count_anew(phase, workers)
-        return self._rooms[key]
-
-    def _count_anew(self, phase: Phase, workers: list[FleetWorker]) -> dict[str, int]:
-        room_for = held_out = silent = 0
+        if key not in self._looks:
+            self._looks[key] = self._look_anew(phase, service)
+        return self._looks[key]
+
+    def _look_anew(self, phase: Phase, service: str) -> _Look:
+        state, now_s = self._state, self._now_s
+        workers = list_eligible(state.workers.values(), service, phase.spec)
+        usable: list[FleetWorker] = []
+        by_rack: Counter[str] = Counter()
+        held_out = silent = 0
         for worker in workers:
             fitting = worker.free.count_fitting(phase.need)
-            if self._state.is_usable(worker, self._now_s):
-                room_for += fitting
+            if state.is_usable(worker, now_s):
+                usable.append(worker)
+                by_rack[worker.rack] += fitting
             elif worker.listed and not worker.leaving and not worker.silent:
                 held_out += fitting
             elif worker.listed and not worker.leaving:
                 silent += fitting
-        return {"room_for": room_for, "held_out": held_out, "silent": silent}
+        excluded = format_exclusions(count_exclusions(state, workers, now_s))
+        return _Look(usable, by_rack, held_out, silent, excluded)
 
-    def _count_limited_room(self, phase: Phase, workers: list[FleetWorker]) -> int:
+    def _count_limited_room(self, phase: Phase, look: _Look) -> int:
         """Return the room on usable workers within the step's spread limit."""
         need, limit = phase.need, phase.spec.spread_limit
+        if not limit:
+            return look.by_rack.total()
         taken = phase.count_taken()
         return sum(
             count_fitting(worker.free, need, limit, taken.get(worker.name, 0))
-            for worker in workers
-            if self._state.is_usable(worker, self._now_s)
+            for worker in look.usable
         )
 
-    def _count_rack_room(self, phase: Phase, workers: list[FleetWorker]) -> int:
-        """Return the most room in one rack, or in that of the step's data."""
-        rooms: Counter[str] = Counter()
-        for worker in workers:
-            if self._state.is_usable(worker, self._now_s):
-                rooms[worker.rack] += worker.free.count_fitting(phase.need)
-        if phase.spec.data_rack:
-            return rooms[phase.spec.data_rack]
-        return max(rooms.values(), default=0)
-
-    def _describe_use(self, service: str) -> str:
+    def _get_use(self, service: str) -> str:
         """Return the used shares of processor, memory and accelerators."""
-        room = count_service_rooms(self._state).get(service, ServiceRoom())
-        pairs = (
-            (room.used.cpu_milli, room.total.cpu_milli),
-            (room.used.memory_mb, room.total.memory_mb),
-            (room.used.accelerators, room.total.accelerators),
-        )
-        return "/".join(f"{used / total if total else 0:.3f}" for used, total in pairs)
+        if self._uses is None:
+            rooms = count_service_rooms(self._state)
+            self._uses = {name: _format_use(room) for name, room in rooms.items()}
+        return self._uses.get(service, _format_use(ServiceRoom()))
+
+
+def _get_rack_room(phase: Phase, look: _Look) -> int:
+    """Return the most room in one rack, or in that of the step's data."""
+    if phase.spec.data_rack:
+        return look.by_rack[phase.spec.data_rack]
+    return max(look.by_rack.values(), default=0)
+
+
+def _format_use(room: ServiceRoom) -> str:
+    pairs = (
+        (room.used.cpu_milli, room.total.cpu_milli),
+        (room.used.memory_mb, room.total.memory_mb),
+        (room.used.accelerators, room.total.accelerators),
+    )
+    return "/".join(f"{used / total if total else 0:.3f}" for used, total in pairs)
