Bind starts and acknowledgements to one incarnation of a worker

Cause: a worker that restarts under its name and address takes the calls that were meant for its former incarnation. It has seen no fencing token, so that it refuses none of them, and it numbers its ends from 1 again. An acknowledgement drops ends that no report has listed; a start of a former owner runs beside the next attempt, although the new owner had proved it over: its proof fenced the incarnation before.

Change: a start carries the incarnation it was decided for, an acknowledgement the one that numbered the ends. Workers that tell no start time are called as before.

--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -139,7 +139,9 @@
     ``grant_start`` the same for a start, None where it may not be sent. ``get_token``
     returns the owner's fencing token, which increases with each renewal of the tenure.
     Each incarnation of the worker is called with a higher token than the former one,
-    so that it refuses delayed calls that were sent to the former one.
+    so that it refuses delayed calls that were sent to the former one. Starts and
+    acknowledgements name the incarnation that they are meant for and act in no other
+    one: it has seen no token yet, and uses the same numbers for other ends.
     """
 
     def __init__(
@@ -280,7 +282,8 @@
             lease_until_ms = self._clock.get_lease_until_ms(now_s, lease_s)
         wait_ms = self._times.get_wait_ms(lease_s) if waits else 0
         acknowledged = self._get_acknowledgement()
-        call = LeaseCall(self._token, acknowledged, lease_until_ms, wait_ms)
+        started_ms = self._incarnation.started_ms if acknowledged else 0
+        call = LeaseCall(self._token, acknowledged, lease_until_ms, wait_ms, started_ms)
         self._has_unanswered_call = False
         result = await self._renew(call, now_s)
         self._acked.clear()
@@ -432,6 +435,9 @@
         All tries use the same ``token``, so that none can act in a later incarnation
         after a report of it has shown that the attempt is absent.
         """
+        if self._incarnation.is_other(order.started_ms):
+            # Whoever takes over this tenure has only the former one to look for it.
+            return None
         if not self._refresh_token() or token != self._token:
             return None
         now_s = read_steady_s()
@@ -449,6 +455,7 @@
             lease_until_ms,
             token,
             order.checkpoint,
+            self._incarnation.started_ms,
         )
 
     async def _try_start(self, call: StartOrder) -> Result[int, Problem]:
--- a/src/larkhoist/fleet/effects.py
+++ b/src/larkhoist/fleet/effects.py
@@ -9,13 +9,18 @@
 
 @dataclass(frozen=True, slots=True)
 class StartTask:
-    """Start one attempt, once the round's records are on the log."""
+    """Start one attempt, once the round's records are on the log.
+
+    ``started_ms`` identifies the incarnation of the worker that it is meant for, 0 if
+    unknown.
+    """
 
     worker: str
     task: str
     attempt: int
     payload: str
     checkpoint: str
+    started_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/larkhoist/fleet/incarnation.py
+++ b/src/larkhoist/fleet/incarnation.py
@@ -40,6 +40,10 @@
             return IncarnationOrder.LATER
         return IncarnationOrder.FORMER
 
+    def is_other(self, started_ms: int) -> bool:
+        """Tell whether ``started_ms`` is known to identify another incarnation."""
+        return 0 not in (started_ms, self.started_ms) and started_ms != self.started_ms
+
     def record_answer(self, started_ms: int, now_s: float) -> None:
         """Record an answer that is not from a former incarnation."""
         self.started_ms = started_ms or self.started_ms
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -199,6 +199,7 @@
                     task.attempt,
                     active.job.payload,
                     task.checkpoint,
+                    task.worker_started_ms,
                 )
             )
         self._note_served(phase, now_s)
--- a/src/larkhoist/fleet/worker.py
+++ b/src/larkhoist/fleet/worker.py
@@ -65,8 +65,7 @@
 
         A start time of 0 is unknown and never counts as a restart.
         """
-        current_ms = self.incarnation.started_ms
-        return 0 not in (started_ms, current_ms) and started_ms != current_ms
+        return self.incarnation.is_other(started_ms)
 
     def begin_incarnation(self, started_ms: int, now_s: float) -> None:
         """Discard the former incarnation's state; ends are numbered from 1 again."""
--- a/src/larkhoist/ports/task_worker.py
+++ b/src/larkhoist/ports/task_worker.py
@@ -47,7 +47,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StartOrder:
-    """Start one attempt of a task; ``lease_until_ms`` is on the worker's clock."""
+    """Start one attempt of a task; ``lease_until_ms`` is on the worker's clock.
+
+    ``started_ms`` identifies the incarnation that the order is meant for, 0 for any.
+    """
 
     task: str
     attempt: int
@@ -55,6 +58,7 @@
     lease_until_ms: int
     token: int
     checkpoint: str = ""
+    started_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,13 +75,15 @@
     """Renew the lease, acknowledge ends and ask for a report.
 
     Without ``lease_until_ms`` the lease stays as it is. The worker answers as soon
-    as a task ends, at the latest after ``wait_ms``.
+    as a task ends, at the latest after ``wait_ms``. ``started_ms`` identifies the
+    incarnation that numbered the acknowledged ends, 0 for any.
     """
 
     token: int
     acknowledged: int
     lease_until_ms: int | None = None
     wait_ms: int = 0
+    started_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,18 +124,25 @@
 
 
 class TaskWorkerPort(Protocol):
-    """Reach one incarnation of one worker.
+    """Reach one worker.
 
-    Failures are ``FENCED``, ``WORKER_FULL``, ``ATTEMPT_TOO_OLD``,
-    ``ORDER_TOO_LATE``, ``WORKER_REPLACED`` and ``ORDER_REFUSED``, after which
-    nothing was done, and ``WORKER_SILENT``, after which the order may still act.
+    A call that is meant for one incarnation acts in no other one. Failures are
+    ``FENCED``, ``WORKER_FULL``, ``ATTEMPT_TOO_OLD``, ``ORDER_TOO_LATE``,
+    ``WORKER_REPLACED`` and ``ORDER_REFUSED``, after which nothing was done, and
+    ``WORKER_SILENT``, after which the order may still act.
     """
 
     async def start_task(self, order: StartOrder) -> Result[int, Problem]:
-        """Start a task and return the worker's clock in milliseconds."""
+        """Start a task and return the worker's clock in milliseconds.
+
+        ``ORDER_TOO_LATE`` tells as well that another incarnation serves by now.
+        """
 
     async def stop_task(self, order: StopOrder) -> Result[int, Problem]:
         """Stop a task and return the worker's clock in milliseconds."""
 
     async def renew(self, call: LeaseCall) -> Result[WorkerReport, Problem]:
-        """Renew the lease, acknowledge ends and report."""
+        """Renew the lease, acknowledge ends and report.
+
+        Another incarnation than the call is meant for only reports.
+        """
