Keep the remaining leases of silent workers on the log

Callers saw a job rest for up to 18.7 s after each change of owner once its worker was gone for good; with owners of 5 s for a minute it went on after 75 s.

Cause: what a former owner may have granted on a worker was counted by each owner from its own beginning, although the former one had known for how long the worker had not answered. None of that was on the log.

Evidence: tests/fleet/test_inherited_leases.py:: test_a_belief_is_not_begun_anew_by_each_owner; printed after each take-over, the lease of the lost worker had 18.0 s left again.

Change: an owner keeps the remaining time of leases of silent workers on the stream of progress and grants them none until a newer record lacks them. A new owner takes the shorter time. Nothing relies on clocks of two instances: the remainder counts from when it is read.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -35,6 +35,7 @@
 from larkhoist.fleet.policy import FleetPolicy
 from larkhoist.fleet.proofs import PROOF_NAMES
 from larkhoist.fleet.scheduler import FleetScheduler, create_fleet_scheduler
+from larkhoist.fleet.silent_leases import LeaseNote
 from larkhoist.fleet.task import TaskState
 from larkhoist.fleet.wait_notes import STANDS_S
 from larkhoist.jobs.book import JobBook
@@ -510,7 +511,7 @@
         for name in decided.probes:
             if name in self._sessions:
                 self._sessions[name].probe()
-        if decided.records or decided.starts or decided.seen or decided.ended:
+        if decided.has_effects:
             self._spawn(self._commit(decided))
 
     async def _commit(self, decided: Round) -> None:
@@ -527,6 +528,8 @@
                     self._tenure.give_up("the log refuses a round")
                 self._wake.set()
                 return
+        if decided.leases is not None:
+            self._grant_again(decided.leases)
         for name, seen in decided.seen.items():
             if name in self._sessions:
                 self._sessions[name].acknowledge(seen)
@@ -535,6 +538,11 @@
         if records.dropped:
             await self._progress_writer.commit(records.dropped)
 
+    def _grant_again(self, note: LeaseNote) -> None:
+        for name in self.scheduler.take_lease_note(note):
+            if name in self._sessions:
+                self._sessions[name].renew()
+
     def _send_start(self, order: StartTask) -> None:
         now_s, _ = _get_times()
         session = self._sessions.get(order.worker)
--- a/src/larkhoist/control/round_records.py
+++ b/src/larkhoist/control/round_records.py
@@ -7,6 +7,7 @@
     PhaseProgress,
     encode_job_record,
     make_closing_records,
+    make_leases_record,
     make_phase_drop,
 )
 from larkhoist.ports.keyed_log import KeyedRecord
@@ -38,4 +39,6 @@
     for ended in decided.ended:
         jobs += make_closing_records(ended.job_id)
         dropped += [make_phase_drop(phase) for phase in ended.phases]
+    if decided.leases is not None:
+        progress.append(make_leases_record(decided.leases.remaining_s))
     return RoundRecords(tuple(jobs), tuple(progress), tuple(dropped))
--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -222,6 +222,10 @@
         """Ask at once whether the worker answers, beside what is under way."""
         self._spawn(self._probe())
 
+    def renew(self) -> None:
+        """Renew the lease at once, beside a call that waits without one."""
+        self._spawn(self._probe(with_lease=True))
+
     def order_start(self, order: StartTask) -> None:
         """Send a start, again where no answer comes."""
         self._spawn(self._start(order))
@@ -277,9 +281,7 @@
             return None
         now_s = read_steady_s()
         lease_s = None if self._silent else self._grant_lease(self._name, now_s)
-        lease_until_ms = None
-        if lease_s is not None:
-            lease_until_ms = self._clock.get_lease_until_ms(now_s, lease_s)
+        lease_until_ms = self._get_until_ms(now_s, lease_s)
         wait_ms = self._times.get_wait_ms(lease_s) if waits else 0
         acknowledged = self._get_acknowledgement()
         started_ms = self._incarnation.started_ms if acknowledged else 0
@@ -302,16 +304,25 @@
                 self._silent = True
         return result
 
-    async def _probe(self) -> None:
+    def _get_until_ms(self, now_s: float, lease_s: float | None) -> int | None:
+        """Return when a lease ends on the worker's clock, None for no lease."""
+        if lease_s is None:
+            return None
+        return self._clock.get_lease_until_ms(now_s, lease_s)
+
+    async def _probe(self, *, with_lease: bool = False) -> None:
         async with self._call_limit:
-            await self._probe_once()
+            await self._probe_once(with_lease)
 
-    async def _probe_once(self) -> None:
+    async def _probe_once(self, with_lease: bool) -> None:
         if not self._refresh_token():
             self._handle_unanswered_call()
             return
         now_s = read_steady_s()
-        result = await self._renew(LeaseCall(self._token, 0), now_s)
+        may_renew = with_lease and not self._silent
+        lease_s = self._grant_lease(self._name, now_s) if may_renew else None
+        lease_until_ms = self._get_until_ms(now_s, lease_s)
+        result = await self._renew(LeaseCall(self._token, 0, lease_until_ms), now_s)
         match result:
             case None:
                 return
--- a/src/larkhoist/fleet/effects.py
+++ b/src/larkhoist/fleet/effects.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from larkhoist.fleet.silent_leases import LeaseNote
 from larkhoist.jobs.records import JobRecord, PhaseId
 
 __all__ = ["EndedJob", "Note", "Round", "SeenEnds", "StartTask", "StopTask"]
@@ -66,7 +67,7 @@
     ``seen`` holds, by worker, the last end that ``records`` cover; it may be
     acknowledged once they are on the log. ``probes`` names workers to be
     asked at once whether they answer. ``ended`` names jobs none of whose tasks may
-    run any more.
+    run any more. ``leases`` is what the log must keep of silent workers.
     """
 
     records: list[JobRecord] = field(default_factory=list)
@@ -76,3 +77,11 @@
     seen: dict[str, SeenEnds] = field(default_factory=dict)
     probes: list[str] = field(default_factory=list)
     ended: list[EndedJob] = field(default_factory=list)
+    leases: LeaseNote | None = None
+
+    @property
+    def has_effects(self) -> bool:
+        """Tell whether something goes to the log, or waits for what went before."""
+        return bool(
+            self.records or self.starts or self.seen or self.ended or self.leases
+        )
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -25,6 +25,7 @@
     take_worker_gone,
 )
 from larkhoist.fleet.restarts import begin_incarnation
+from larkhoist.fleet.silent_leases import LeaseNote, SilentLeases
 from larkhoist.fleet.state import FleetState
 from larkhoist.fleet.task import TaskState
 from larkhoist.fleet.worker import FleetWorker, create_worker
@@ -49,6 +50,7 @@
         self._has_more = False
         self._taken: set[str] = set()
         self._replaced: dict[str, int] = {}
+        self._silent_leases = SilentLeases()
 
     # What the scheduler is told.
 
@@ -119,6 +121,9 @@
             if entry.job is None:
                 continue
             self.add_job(entry, now_s, now_ms)
+        self._silent_leases.take_over(
+            book.remaining_leases_s, self.state.workers, now_s
+        )
 
     def cancel_job(self, job_id: str, now_s: float, now_ms: int) -> None:
         """End a job on its submitter's wish."""
@@ -132,7 +137,7 @@
         None means that the call must bring none: no task may run there.
         """
         found = self.state.workers.get(worker)
-        if found is None or not found.tasks:
+        if found is None or not found.tasks or self._silent_leases.withholds(worker):
             return None
         policy = self.state.policy
         lease_s = policy.lease_s
@@ -141,6 +146,10 @@
         self.state.extend_lease(found, now_s, lease_s)
         return lease_s
 
+    def take_lease_note(self, note: LeaseNote) -> list[str]:
+        """Take a note on leases that the log has; return who may get one again."""
+        return self._silent_leases.grant(note)
+
     def note_silent(self, worker: str, asked_s: float) -> None:
         """Note that a call to a worker at ``asked_s`` got no answer."""
         found = self.state.workers[worker]
@@ -249,6 +258,7 @@
         self._check_leases(now_s)
         self._send_stops_again(now_s)
         self._end_finished(now_s, now_ms)
+        state.round.leases = self._silent_leases.update(state.workers.values(), now_s)
         if state.changed or self._has_more or now_s >= self._look_s:
             self._look_s = now_s + LOOK_INTERVAL_S
             mark_firm(state.jobs.values(), self._guarantees)
--- a/src/larkhoist/jobs/book.py
+++ b/src/larkhoist/jobs/book.py
@@ -23,6 +23,7 @@
     JobRecord,
     PhaseId,
     PhaseProgress,
+    RemainingLeases,
     decode_job_record,
 )
 from larkhoist.jobs.spec import StagedJob
@@ -84,10 +85,15 @@
 
 
 class JobBook:
-    """Hold the entries of all jobs by id."""
+    """Hold the entries of all jobs by id.
+
+    ``remaining_leases_s`` is how long leases of silent workers may last, by worker, in
+    seconds from when the progress was taken over.
+    """
 
     def __init__(self):
         self.entries: dict[str, BookEntry] = {}
+        self.remaining_leases_s: dict[str, float] = {}
 
     def replace(self, records: Iterable[StoredRecord]) -> None:
         """Start anew from the newest record of each key."""
@@ -136,17 +142,22 @@
         for entry in self.entries.values():
             entry.phases = {}
             entry.unreadable = False
+        self.remaining_leases_s = {}
         left_over = []
         for record in records:
-            decoded = _decode_progress(record)
-            if decoded is None:
-                self._note_unreadable(record.key)
-                continue
-            entry = self.entries.get(decoded.phase.job_id)
-            if entry is None or entry.job is None:
-                left_over.append(decoded.phase)
-            else:
-                entry.phases[decoded.phase] = decoded
+            match _decode_progress(record):
+                case None:
+                    self._note_unreadable(record.key)
+                case RemainingLeases(remaining_ms):
+                    self.remaining_leases_s = {
+                        name: left_ms / 1000 for name, left_ms in remaining_ms.items()
+                    }
+                case PhaseProgress(phase) as progress:
+                    entry = self.entries.get(phase.job_id)
+                    if entry is None or entry.job is None:
+                        left_over.append(phase)
+                    else:
+                        entry.phases[phase] = progress
         return left_over
 
     def _note_unreadable(self, key: str) -> None:
@@ -194,13 +205,13 @@
             entry.phases = {}
 
 
-def _decode_progress(record: StoredRecord) -> PhaseProgress | None:
+def _decode_progress(record: StoredRecord) -> PhaseProgress | RemainingLeases | None:
     try:
         decoded = decode_job_record(record.value)
     except msgspec.DecodeError as error:
         _log_unreadable(PROGRESS_STREAM, record, error)
         return None
-    if isinstance(decoded, PhaseProgress):
+    if isinstance(decoded, PhaseProgress | RemainingLeases):
         return decoded
     _log_unreadable(PROGRESS_STREAM, record, f"{type(decoded).__name__}, no progress")
     return None
--- a/src/larkhoist/jobs/records.py
+++ b/src/larkhoist/jobs/records.py
@@ -9,6 +9,9 @@
 outcome is all that is kept, until nobody may ask for it any more.
 """
 
+from collections.abc import Mapping
+from math import ceil
+
 import msgspec
 
 from larkhoist.jobs.spec import StagedJob
@@ -25,11 +28,13 @@
     "LostWorkers",
     "PhaseId",
     "PhaseProgress",
+    "RemainingLeases",
     "TaskProgress",
     "decode_job_record",
     "encode_job_record",
     "make_closing_records",
     "make_expiry_records",
+    "make_leases_record",
     "make_phase_drop",
 ]
 
@@ -118,6 +123,16 @@
     since_ms: int = 0
 
 
+class RemainingLeases(msgspec.Struct, frozen=True, tag="l"):
+    """Hold how long leases of silent workers may last, in milliseconds by worker.
+
+    The time counts from when the record is written at the latest. Its owner grants
+    these workers no lease until a newer record lacks them.
+    """
+
+    remaining_ms: dict[str, int]
+
+
 class JobOutcome(msgspec.Struct, frozen=True, tag="o"):
     """Hold how a job ended, as a result code, and when (Unix milliseconds).
 
@@ -130,7 +145,15 @@
     customer: str = ""
 
 
-JobRecord = JobAccepted | JobCancelRequested | JobBegun | PhaseProgress | JobOutcome
+JobRecord = (
+    JobAccepted
+    | JobCancelRequested
+    | JobBegun
+    | PhaseProgress
+    | RemainingLeases
+    | JobOutcome
+)
+LEASES_KEY = "l"
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(JobRecord)
@@ -147,6 +170,8 @@
             key = f"b{job_id}"
         case PhaseProgress(phase):
             key = _make_phase_key(phase)
+        case RemainingLeases():
+            key = LEASES_KEY
         case JobOutcome(job_id):
             key = f"o{job_id}"
     return KeyedRecord(key, _encoder.encode(record))
@@ -165,6 +190,14 @@
     return (*make_closing_records(job_id), KeyedRecord(f"o{job_id}", b""))
 
 
+def make_leases_record(remaining_s: Mapping[str, float]) -> KeyedRecord:
+    """Return what keeps the remaining time of leases (seconds), if there are any."""
+    if not remaining_s:
+        return KeyedRecord(LEASES_KEY, b"")
+    remaining_ms = {name: ceil(1000 * left_s) for name, left_s in remaining_s.items()}
+    return encode_job_record(RemainingLeases(remaining_ms))
+
+
 def make_phase_drop(phase: PhaseId) -> KeyedRecord:
     """Return what drops a phase from the stream of progress."""
     return KeyedRecord(_make_phase_key(phase), b"")
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -28,6 +28,7 @@
 from larkhoist.fleet.incarnation import Incarnation, IncarnationOrder
 from larkhoist.fleet.policy import FleetPolicy
 from larkhoist.fleet.scheduler import FleetScheduler, create_fleet_scheduler
+from larkhoist.fleet.silent_leases import LeaseNote
 from larkhoist.jobs.book import JobBook
 from larkhoist.jobs.records import (
     JobAccepted,
@@ -434,6 +435,8 @@
         records = encode_round(decided)
         self._keep_jobs(records.jobs)
         self._keep_progress((*records.progress, *records.dropped))
+        if decided.leases is not None:
+            self._grant_again(owner, decided.leases)
         for name, seen in decided.seen.items():
             session = owner.sessions.get(name)
             if session is None or seen.started_ms != session.incarnation.started_ms:
@@ -450,6 +453,19 @@
             session.busy = session.woken = True
             self._order_start(owner, session, start)
 
+    def _grant_again(self, owner: _Owner, note: LeaseNote) -> None:
+        for name in owner.scheduler.take_lease_note(note):
+            session = owner.sessions.get(name)
+            if session is None or session.silent:
+                continue
+            if self._refresh_token(owner, session):
+                lease_s = self._grant_lease(owner, session)
+                until_ms = None
+                if lease_s is not None:
+                    until_ms = session.clock.get_lease_until_ms(self.now_s, lease_s)
+                call = LeaseCall(session.token, 0, until_ms)
+                self._call(owner, session, _Probing(self.now_s), call)
+
     # Sessions.
 
     def _ask_workers(self, owner: _Owner) -> None:
