Take a start that no connection took as never sent

Callers waited for work whose start went to a worker that had just ended: the start was taken as one that may act, so that its task rested until a report, a restart or the end of the lease proved otherwise, and the worker counted as lost under it.

Cause: the client told a refused connection and a lost answer by one code.

Change: WORKER_UNREACHABLE (710) says that no try was sent. The task is free at once, and nothing counts against it; after a try that had no answer it proves nothing, as before.

--- a/src/larkhoist/codes.py
+++ b/src/larkhoist/codes.py
@@ -71,6 +71,7 @@
     WORKER_SILENT = 707
     ORDER_REFUSED = 708
     APPEND_REFUSED = 709
+    WORKER_UNREACHABLE = 710
 
 
 _DESCRIPTIONS: dict[Code, tuple[int, str]] = {
@@ -126,6 +127,7 @@
     Code.WORKER_SILENT: (504, "the worker did not answer; the order may act later"),
     Code.ORDER_REFUSED: (503, "the worker did nothing with the order"),
     Code.APPEND_REFUSED: (400, "the log takes no such records; nothing was appended"),
+    Code.WORKER_UNREACHABLE: (503, "the worker took no connection; nothing was sent"),
 }
 
 
--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -496,7 +496,7 @@
                 self._tenure.give_up(f"worker {worker} knows a newer term")
             case Code.WORKER_REPLACED:
                 self.scheduler.note_replaced(worker, now_s)
-            case Code.WORKER_SILENT:
+            case Code.WORKER_SILENT | Code.WORKER_UNREACHABLE:
                 self.scheduler.note_silent(worker, now_s)
 
     # Carrying out what was decided.
--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -410,16 +410,17 @@
             self._tell(StartDropped(self._name, order.task, order.attempt))
             return
         result = await self._try_start(call)
-        may_act = _is_silent(result)
+        may_act = _may_have_acted(result)
         for _ in range(self._times.start_tries - 1):
-            if not _is_silent(result):
+            if not _is_unanswered(result):
                 break
             await asyncio.sleep(self._times.start_pause_s)
             call = self._make_start(order, token)
             if call is None:
                 break
             result = await self._try_start(call)
-        if _is_silent(result):
+            may_act = may_act or _may_have_acted(result)
+        if _is_unanswered(result):
             self._handle_unanswered_call()
         self._tell(self._make_start_answer(order, result, may_act))
 
@@ -481,7 +482,7 @@
         match result:
             case Failure(problem):
                 code = problem.code
-        if _is_silent(result):
+        if _is_unanswered(result):
             self._handle_unanswered_call()
         self._tell(StopAnswer(self._name, order.task, order.attempt, code))
 
@@ -524,7 +525,14 @@
     return result
 
 
-def _is_silent(result: Result[int, Problem]) -> bool:
+def _is_unanswered(result: Result[int, Problem]) -> bool:
+    match result:
+        case Failure(problem):
+            return problem.code in (Code.WORKER_SILENT, Code.WORKER_UNREACHABLE)
+    return False
+
+
+def _may_have_acted(result: Result[int, Problem]) -> bool:
     match result:
         case Failure(problem):
             return problem.code is Code.WORKER_SILENT
--- a/src/larkhoist/fleet/proofs.py
+++ b/src/larkhoist/fleet/proofs.py
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NeverSent:
-    """The start was dropped before it was sent."""
+    """The start was dropped before it was sent, or no connection took it."""
 
     NAME: ClassVar[str] = "never_sent"
 
--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -8,6 +8,7 @@
     AbsentFromReport,
     EndListed,
     GangDone,
+    NeverSent,
     Proof,
     StartRefused,
 )
@@ -102,6 +103,8 @@
         case Code.WORKER_SILENT if task.state is TaskState.RUNNING:
             # A report has shown that it runs.
             return
+        case Code.WORKER_UNREACHABLE if not may_act:
+            state.release(phase, task, NeverSent(), now_s)
         case Code.WORKER_SILENT | Code.FENCED:
             # The order may still act: only a stop that is answered settles it, or
             # that its lease is over, without which no worker begins it.
--- a/src/larkhoist/ports/task_worker.py
+++ b/src/larkhoist/ports/task_worker.py
@@ -128,8 +128,8 @@
 
     A call that is meant for one incarnation acts in no other one. Failures are
     ``FENCED``, ``WORKER_FULL``, ``ATTEMPT_TOO_OLD``, ``ORDER_TOO_LATE``,
-    ``WORKER_REPLACED`` and ``ORDER_REFUSED``, after which nothing was done, and
-    ``WORKER_SILENT``, after which the order may still act.
+    ``WORKER_REPLACED``, ``ORDER_REFUSED`` and ``WORKER_UNREACHABLE``, after which
+    nothing was done, and ``WORKER_SILENT``, after which the order may still act.
     """
 
     async def start_task(self, order: StartOrder) -> Result[int, Problem]:
--- a/tests/control/test_worker_session.py
+++ b/tests/control/test_worker_session.py
@@ -78,6 +78,10 @@
         ((Code.WORKER_SILENT, Code.ATTEMPT_TOO_OLD), Code.ATTEMPT_TOO_OLD, True),
         ((Code.WORKER_SILENT, Code.WORKER_FULL), Code.WORKER_FULL, True),
         ((Code.WORKER_SILENT, Code.WORKER_SILENT), Code.WORKER_SILENT, True),
+        ((Code.WORKER_UNREACHABLE, None), None, False),
+        ((Code.WORKER_UNREACHABLE,) * 2, Code.WORKER_UNREACHABLE, False),
+        ((Code.WORKER_SILENT, Code.WORKER_UNREACHABLE), Code.WORKER_UNREACHABLE, True),
+        ((Code.WORKER_UNREACHABLE, Code.WORKER_SILENT), Code.WORKER_SILENT, True),
     ],
 )
 async def test_a_refusal_after_a_lost_answer_proves_nothing(codes, code, may_act):
