Give up no job for starts that were never seen to run

Callers were shown jobs as failed that crash nothing: five workers were lost under one task, on four of which its start had never been carried out.

Cause: every worker that was lost while an attempt was assigned to it counted alike.

Change: a crash that something else most likely caused does not count against a start that was never seen to run; five lost workers end a task only if it was seen on two of them or was alone in having just been started. Work that crashes its worker before it answers still ends after five starts, with a test.

--- a/src/larkhoist/fleet/crashes.py
+++ b/src/larkhoist/fleet/crashes.py
@@ -30,9 +30,14 @@
 LEAST_CRASHES = 2
 """Without so many crashes a task is not given up for the number of its late starts."""
 MOST_LOST = 5
-"""So many lost workers end a task, however little is known of them. Work that meets
-five cut-off workers in its life is rarer than workers that come back only after their
-lease, of whose crash nothing ever tells."""
+"""So many lost workers end a task. Work that meets five cut-off workers in its life is
+rarer than workers that come back only after their lease, of whose crash nothing ever
+tells."""
+LEAST_KNOWN = 2
+"""Under so many of them the task was seen to run, or was the only one that had just
+been started: other starts that were never answered may not have begun."""
+SURELY_BLAMED = 2
+"""What is blamed for so many more crashes caused this one as well."""
 NEWEST_S = 0.5
 """What began on a worker so long before the newest task there is not blamed for its
 crash; a start that is answered at its second try takes 0.1 s more than others."""
@@ -55,6 +60,9 @@
     counts for nothing.
     """
     newest_s = max((task.began_s for _, task in tasks), default=now_s)
+    newest = [task for _, task in tasks if task.began_s >= newest_s - NEWEST_S]
+    most_blamed = max((t.lost.blamed for _, t in tasks if t.seen_running), default=0)
+    counted = []
     for phase, task in tasks:
         ran_s = now_s - task.began_s
         if worker.has_left(now_s) and ran_s > LEAVING_S:
@@ -62,12 +70,23 @@
         if phase.spec.long_running and task.seen_running and ran_s > STEADY_S:
             task.lost = LostWorkers()
             continue
-        is_newest = task.began_s >= newest_s - NEWEST_S
-        task.lost = _add_loss(task, worker, proof, is_newest)
+        if _has_other_cause(task, proof, most_blamed):
+            continue
+        is_known = task.seen_running or newest == [task]
+        counted.append((task, _add_loss(task, worker, proof, task in newest, is_known)))
+    for task, lost in counted:
+        task.lost = lost
+
+
+def _has_other_cause(task: Task, proof: Proof, most_blamed: int) -> bool:
+    """Tell whether a crash took a start before its answer, by what else ran there."""
+    if task.seen_running or isinstance(proof, LeaseOver):
+        return False
+    return most_blamed >= task.lost.blamed + SURELY_BLAMED
 
 
 def _add_loss(
-    task: Task, worker: FleetWorker, proof: Proof, is_newest: bool
+    task: Task, worker: FleetWorker, proof: Proof, is_newest: bool, is_known: bool
 ) -> LostWorkers:
     lost = task.lost
     match proof:
@@ -76,7 +95,8 @@
         case WorkerRestarted(was_leaving) if task.seen_running and not was_leaving:
             return _add_crash(lost, is_newest)
         case WorkerReplaced() | WorkerRestarted() | LeaseOver():
-            return replace(lost, unsure=lost.unsure + 1)
+            unseen = lost.unseen + (not is_known)
+            return replace(lost, unsure=lost.unsure + 1, unseen=unseen)
         case _:
             return lost
 
@@ -94,7 +114,9 @@
 def is_given_up(task: Task) -> bool:
     """Tell whether so many workers were lost under a task that it is not run again."""
     lost = task.lost
-    if lost.blamed >= MOST_BLAMED or lost.count >= MOST_LOST:
+    if lost.blamed >= MOST_BLAMED:
+        return True
+    if lost.count >= MOST_LOST and lost.count - lost.unseen >= LEAST_KNOWN:
         return True
     off_workers = task.state is TaskState.WAITING
     used_up = lost.late_starts >= MOST_LATE_STARTS
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -335,6 +335,7 @@
             crashes=task.lost.crashes,
             blamed=task.lost.blamed,
             unsure=task.lost.unsure,
+            unseen=task.lost.unseen,
             proof=name,
             **describe_proof(proof, now_s),
         )
@@ -357,6 +358,7 @@
             crashes=task.lost.crashes,
             blamed=task.lost.blamed,
             unsure=task.lost.unsure,
+            unseen=task.lost.unseen,
             late_starts=task.lost.late_starts,
         )
 
--- a/src/larkhoist/jobs/records.py
+++ b/src/larkhoist/jobs/records.py
@@ -74,12 +74,15 @@
     ``crashes`` counts those that crashed while it ran, ``blamed`` those of them whose
     crash it most likely caused, ``unsure`` those that may have been cut off, or on
     which it may not have run. ``late_starts`` counts its starts after the third of all.
+    ``unseen`` counts those of ``unsure`` on which it was never seen to run while others
+    had just been started there as well.
     """
 
     crashes: int = 0
     blamed: int = 0
     unsure: int = 0
     late_starts: int = 0
+    unseen: int = 0
 
     @property
     def count(self) -> int:
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -152,6 +152,24 @@
     assert get_code(machine, job) == Code.JOB_FAILED
 
 
+def test_work_that_crashes_its_worker_before_it_answers_is_given_up():
+    # No start of it is ever answered, so that it is never seen to run.
+    job = make_job(1, ONE)
+    machine = make_machine(6, (job,))
+    start = machine.world.start
+
+    def crash(worker, order, now_s, **how):
+        start(worker, order, now_s, **how)
+        machine.world.kill(worker, now_s)
+
+    machine.world.start = crash
+    machine.submit(job)
+    play(machine, 120)
+    check_history(machine)
+    assert count_starts(machine, job) <= 5
+    assert get_code(machine, job) == Code.JOB_FAILED
+
+
 def lose_worker(machine: FleetMachine, name: str) -> None:
     worker = machine.world.workers[name]
     machine.world.kill(worker, machine.now_s)
