End the preferences for racks and unreserved workers after 2 s

Cause: both preferences ended only where half of everything is idle. The users bound such a wait in calm times however full the service is.

Evidence: the `stands` lines of the five listed tests have room twice over among usable workers, none within the preference, and more than half in use; nobody is excluded.

Change: a step with nothing running that has waited for 2 s and fits twice over goes to any rack and to reserved workers, one task or gang at a time.

--- a/src/larkhoist/control/scheduler_node.py
+++ b/src/larkhoist/control/scheduler_node.py
@@ -248,7 +248,6 @@
             predecessor_s=self._tenure_times.predecessor_s,
             stop_s=self._settings.stop_s,
             restore_s=self._settings.restore_s,
-            far_ratio=self._settings.far_ratio,
         )
         roster = RosterKeeper(self._decode_worker)
         roster_follower = StreamFollower(
--- a/src/larkhoist/control/settings.py
+++ b/src/larkhoist/control/settings.py
@@ -13,8 +13,7 @@
     ``lease_s`` is the longest lease that workers grant, ``apply_s`` how soon a
     configuration must be in force, ``drain_s`` how long a stop of
     an instance may take, ``stop_s`` how long a worker may take to stop a task,
-    ``restore_s`` how long a task takes to go on from its checkpoint, ``far_ratio`` how
-    many times as long it takes away from the rack that it asks for.
+    ``restore_s`` how long a task takes to go on from its checkpoint.
     ``keep_s`` is how long an ended job is kept for callers.
     ``cores`` is the processor that the instance may use.
     """
@@ -28,7 +27,6 @@
     drain_s: Positive = 6.0
     stop_s: Positive = 0.9
     restore_s: Positive = 0.25
-    far_ratio: float = Field(default=3.0, ge=1.0)
     keep_s: Positive = 180.0
     cores: Positive = 1.0
     log: LogSettings = LogSettings()
--- a/src/larkhoist/fleet/leeway.py
+++ b/src/larkhoist/fleet/leeway.py
@@ -48,8 +48,8 @@
     def any_worker(self) -> bool:
         """Tell whether it may take what guarantees and urgent work may need.
 
-        Reserved workers are not among it, but for tasks that last: narrow work in their
-        gaps made a gang wait for 14 s instead of 5 s (6 drawn loads of 8 workers).
+        Reserved workers are not among it: what has nothing running may go there one
+        task at a time, others made a gang wait for 14 s instead of 5 s.
         """
         return self.fits_twice and self.some_idle
 
--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -168,21 +168,19 @@
         others. ``reason`` is why it has not started yet.
         """
         left = len(phase.get_waiting())
-        for among in self._list_last_resorts(leeway, active, phase):
+        for among in self._list_last_resorts(leeway, phase):
             groups = self._get_last_resort(among, tier, leeway, active, phase)
             reason = self._start(tier, leeway, active, phase, groups, among)
             if reason is None or len(phase.get_waiting()) < left:
                 break
         return reason
 
-    def _list_last_resorts(
-        self, leeway: Leeway, active: ActiveJob, phase: Phase
-    ) -> list[Among]:
+    def _list_last_resorts(self, leeway: Leeway, phase: Phase) -> list[Among]:
         """Return where a phase that has waited for long may go, in this order."""
         last_resorts = (
             (any(task.failed_on for task in phase.tasks), Among.USABLE),
             (self._may_probe(leeway, phase), Among.QUARANTINED),
-            (self._may_leave_rack(leeway, active, phase), Among.ANY_RACK),
+            (self._may_leave_rack(leeway, phase), Among.ANY_RACK),
             (self._may_use_reserved(leeway, phase), Among.RESERVED),
         )
         return [among for applies, among in last_resorts if applies]
@@ -207,31 +205,25 @@
             return False
         return leeway.any_worker or _stands(phase)
 
-    def _may_leave_rack(self, leeway: Leeway, active: ActiveJob, phase: Phase) -> bool:
+    def _may_leave_rack(self, leeway: Leeway, phase: Phase) -> bool:
         """Tell whether a phase may leave its racks though more than half is used.
 
-        Only one that has nothing running may: tasks that last at once, others after as
-        long as they run longer elsewhere.
+        Only one that has nothing running may.
         """
         spec = phase.spec
         if leeway.any_rack or not (spec.same_rack or spec.data_rack):
             return False
-        if not leeway.fits_twice or not _stands(phase):
-            return False
-        if spec.long_running:
-            return True
-        expected_s = self.state.runtimes.predict(active.job.queue, spec.estimate_ms)
-        longer_s = (self.state.policy.far_ratio - 1) * expected_s
-        return self.now_s >= phase.unserved_since_s + longer_s
+        return leeway.fits_twice and _stands(phase)
 
     def _may_use_reserved(self, leeway: Leeway, phase: Phase) -> bool:
         """Tell whether a phase may use workers reserved for others.
 
-        Only tasks that last may, one at a time: a gang waits longer beside them.
+        Only one that has nothing running may, one task or gang at a time: those for
+        which they are reserved wait longer beside it.
         """
         if not len(self.state.reservations):
             return False
-        return phase.spec.long_running and leeway.fits_twice
+        return leeway.fits_twice and _stands(phase)
 
     def _start(
         self,
--- a/src/larkhoist/fleet/policy.py
+++ b/src/larkhoist/fleet/policy.py
@@ -37,8 +37,6 @@
 
     As much is counted as lost where urgent work itself is stopped for guarantees.
 
-    Away from the rack that it asks for, work takes ``far_ratio`` times as long.
-
     A gang that has waited for ``reserve_after_s`` gets workers of its own, as long as
     not more than ``reserved_share`` of all are reserved: beyond, what they leave idle
     costs more than the gangs earn (0.15 against 0.3 and 0.5: 0.020 and 0.015 of worth,
@@ -67,7 +65,6 @@
     taken_over_wait_s: float = 0.3
     late_ratio: float = 3.0
     restore_s: float = 0.25
-    far_ratio: float = 3.0
     reserve_after_s: float = 0.5
     reserved_share: float = 0.15
 
