Count crashes that show only after a worker's lease is over

Cause: its workers are back 4 s after a crash, its leases are over after 2.4 s. Each loss was taken as a cut-off worker, so that nothing was blamed: five workers were lost under each such task instead of three, those tasks were not kept apart, and others' work beside them was lost again and again.

Change: what a silent worker ran is remembered for a minute. Another incarnation in its place, by name and start time or by address, turns the loss into a crash (crash-shown-late); an answer of the same one does not, and a worker whose entry went before it fell silent counts as one that left.

The new tests fail on the code before (five starts).

--- a/src/larkhoist/fleet/crashes.py
+++ b/src/larkhoist/fleet/crashes.py
@@ -7,6 +7,7 @@
 
 from msgspec.structs import replace
 
+from larkhoist.fleet.late_crashes import LostRun
 from larkhoist.fleet.proofs import (
     LeaseOver,
     Proof,
@@ -17,7 +18,13 @@
 from larkhoist.fleet.worker import FleetWorker
 from larkhoist.jobs.records import LostWorkers
 
-__all__ = ["count_losses", "has_given_up_task", "is_given_up", "note_start"]
+__all__ = [
+    "count_late_crash",
+    "count_losses",
+    "has_given_up_task",
+    "is_given_up",
+    "note_start",
+]
 
 MOST_BLAMED = 3
 """So many crashes that a task most likely caused end it. The users allow two to do; but
@@ -52,12 +59,14 @@
 
 def count_losses(
     tasks: list[tuple[Phase, Task]], worker: FleetWorker, proof: Proof, now_s: float
-) -> None:
+) -> list[LostRun]:
     """Count a worker that was lost against the tasks that ran or may have run there.
 
     It has crashed where another life took its place, most likely by what began last;
     else it may have been cut off. One that left as it had said, with work from before,
     counts for nothing.
+
+    Returns what was seen to run and may have crashed it.
     """
     newest_s = max((task.began_s for _, task in tasks), default=now_s)
     newest = [task for _, task in tasks if task.began_s >= newest_s - NEWEST_S]
@@ -72,10 +81,21 @@
             continue
         if _has_other_cause(task, proof, most_blamed):
             continue
-        is_known = task.seen_running or newest == [task]
+        is_known = task.was_seen or newest == [task]
         counted.append((task, _add_loss(task, worker, proof, task in newest, is_known)))
     for task, lost in counted:
         task.lost = lost
+    if worker.leaving:
+        return []
+    seen = [task for task, _ in counted if task.seen_running]
+    return [LostRun(task.name, task in newest) for task in seen]
+
+
+def count_late_crash(task: Task, run: LostRun) -> None:
+    """Count a lost worker as crashed that counted as perhaps cut off."""
+    lost = task.lost
+    if lost.unsure > lost.unseen:
+        task.lost = _add_crash(replace(lost, unsure=lost.unsure - 1), run.is_newest)
 
 
 def _has_other_cause(task: Task, proof: Proof, most_blamed: int) -> bool:
--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -8,6 +8,7 @@
     AbsentFromReport,
     EndListed,
     GangDone,
+    LeaseOver,
     NeverSent,
     Proof,
     StartRefused,
@@ -45,6 +46,8 @@
             return
         case IncarnationOrder.LATER:
             begin_incarnation(state, worker, report.started_ms, now_s, present)
+        case _:
+            state.late_crashes.drop(worker.name)
     worker.incarnation.record_answer(report.started_ms, now_s)
     # By when the answer is taken: former owners may have renewed after it was asked.
     state.end_inherited_lease(worker, now_s)
@@ -94,7 +97,7 @@
     match code:
         case None:
             state.workers[task.worker].refused_pause_s = 0.0
-            task.note_running()
+            state.note_running(phase, task)
             task.settled_s = min(task.settled_s, now_s)
             if task.state is TaskState.STARTING:
                 task.state = TaskState.RUNNING
@@ -170,7 +173,10 @@
         tasks=len(tasks),
         heard_age_s=round(now_s - worker.heard_s, 3),
     )
-    count_losses(tasks, worker, proof, now_s)
+    runs = count_losses(tasks, worker, proof, now_s)
+    match proof:
+        case LeaseOver():
+            state.late_crashes.note(worker, runs, now_s)
     for phase, task in tasks:
         state.release(phase, task, proof, now_s)
 
@@ -271,7 +277,7 @@
     if task.state is TaskState.STARTING:
         task.state = TaskState.RUNNING
     # It has begun, and no attempt begins twice on one worker.
-    task.note_running()
+    state.note_running(phase, task)
     task.worker_started_ms = worker.incarnation.started_ms
     task.settled_s = min(task.settled_s, now_s)
     if running.checkpoint and running.checkpoint != task.checkpoint:
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -234,6 +234,7 @@
             found.strays = {}
             self._replaced[worker] = found.incarnation.started_ms
             take_worker_gone(self.state, found, WorkerReplaced(), now_s)
+            self.state.take_late_crashes("", 0, found.address)
 
     def is_wanted(self, task: str, attempt: int) -> bool:
         """Tell whether a start that was decided earlier is still wanted.
@@ -348,6 +349,7 @@
             self.state.workers[entry.name] = worker
         else:
             worker.take_entry(entry)
+        self.state.take_late_crashes(entry.name, entry.started_ms, entry.address)
         self._update_worker(worker, entry, now_s)
         self.state.note("worker-listed", worker=entry.name, rack=entry.rack)
 
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -8,11 +8,12 @@
 from collections.abc import Iterator
 
 from larkhoist.codes import Code
-from larkhoist.fleet.crashes import is_given_up, note_start
+from larkhoist.fleet.crashes import count_late_crash, is_given_up, note_start
 from larkhoist.fleet.doubts import HallDoubts
 from larkhoist.fleet.effects import EndedJob, Note, Round, StartTask, StopTask
 from larkhoist.fleet.handed_on_waits import find_wait_start_ms
 from larkhoist.fleet.headroom import UrgentDemand
+from larkhoist.fleet.late_crashes import LateCrashes
 from larkhoist.fleet.policy import FleetPolicy
 from larkhoist.fleet.proofs import (
     AbsentFromReport,
@@ -54,6 +55,7 @@
         self.doubts = HallDoubts()
         self.urgent_demand = UrgentDemand()
         self.reservations = Reservations()
+        self.late_crashes = LateCrashes()
         self.cordoned_halls: frozenset[str] = frozenset()
         self.round = Round()
         self.changed = True
@@ -187,6 +189,7 @@
             task.saved_s = now_s
             task.settled_s = float("inf")
             task.seen_running = False
+            task.seen_before = False
             note_start(task)
             self._occupy(phase, task, places[task.index])
             worker = self.workers[task.worker]
@@ -277,6 +280,33 @@
         if phase.spec.gang:
             self._close_gang(phase, now_s)
 
+    def take_late_crashes(self, name: str, started_ms: int, address: str) -> None:
+        """Count the crashes that an incarnation which has come up tells of."""
+        for run in self.late_crashes.take(name, started_ms, address):
+            found = self._tasks.get(run.task)
+            if found is None or found[1].state is TaskState.DONE:
+                continue
+            phase, task = found
+            count_late_crash(task, run)
+            self.note(
+                "crash-shown-late",
+                task=task.name,
+                attempt=task.attempt,
+                by=name,
+                crashes=task.lost.crashes,
+                blamed=task.lost.blamed,
+                unsure=task.lost.unsure,
+            )
+            self._note_suspect(phase, task)
+            self.touch(phase)
+
+    def note_running(self, phase: Phase, task: Task) -> None:
+        """Note that the worker has said that an attempt runs."""
+        if not task.was_seen:
+            # Another owner could not tell it from a start that was never carried out.
+            self._dirty[id(phase)] = phase
+        task.note_running()
+
     def drop_plan(self, phase: Phase) -> None:
         """Give back the room that is kept for a phase."""
         for name in phase.plan.values():
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -36,7 +36,8 @@
 
     From ``settled_s`` on no order given before can begin the attempt any more, so
     that a report asked for later tells for certain whether it runs. ``seen_running``
-    tells that the worker itself has said that the attempt runs, to this owner.
+    tells that the worker itself has said that the attempt runs, to this owner,
+    ``seen_before`` that it has said so to a former one.
     ``has_begun`` tells that any attempt has run; another owner takes each for begun.
     ``lost`` counts the workers that were lost under it. ``worker_started_ms`` is the
     start time of the worker incarnation that the attempt was assigned to, 0 if unknown.
@@ -57,6 +58,7 @@
     stop_sent_s: float = float("-inf")
     failed_on: set[str] = field(default_factory=set)
     seen_running: bool = False
+    seen_before: bool = False
     has_begun: bool = False
     lost: LostWorkers = LostWorkers()
 
@@ -65,6 +67,11 @@
         """Tell whether the task may run somewhere."""
         return self.state in ON_WORKER
 
+    @property
+    def was_seen(self) -> bool:
+        """Tell whether any owner has seen the attempt run."""
+        return self.seen_running or self.seen_before
+
     def note_running(self) -> None:
         """Note that the worker has said that the attempt runs."""
         self.seen_running = True
@@ -200,6 +207,7 @@
                     task.address if task.is_on_worker else "",
                     task.lost,
                     task.worker_started_ms if task.is_on_worker else 0,
+                    task.was_seen if task.is_on_worker else False,
                 )
                 for task in self.tasks
             ),
@@ -301,3 +309,4 @@
         task.worker = kept.worker
         task.address = kept.address
         task.worker_started_ms = kept.worker_started_ms
+        task.seen_before = kept.seen
--- a/src/larkhoist/fleet/worker.py
+++ b/src/larkhoist/fleet/worker.py
@@ -115,6 +115,11 @@
             return True
         return self.unlisted_s is not None and now_s > self.unlisted_s + patience_s
 
+    @property
+    def has_gone_unsaid(self) -> bool:
+        """Tell whether its entry had gone before it fell silent, without a word."""
+        return self.unlisted_s is not None and self.unlisted_s < self.silent_s
+
     def has_left(self, now_s: float) -> bool:
         """Tell whether the worker, known to be gone, served as long as it had said."""
         if not self.leaving:
--- a/src/larkhoist/jobs/records.py
+++ b/src/larkhoist/jobs/records.py
@@ -98,7 +98,8 @@
     goes on. ``address`` reaches the worker when it is off the platform's list: without
     it a successor could neither stop a task there nor keep up its lease. ``lost``
     counts the workers that were lost under it. ``worker_started_ms`` is the start time
-    of the worker incarnation that the attempt was assigned to, 0 if unknown.
+    of the worker incarnation that the attempt was assigned to, 0 if unknown. ``seen``
+    tells that the worker has said that the attempt runs.
     """
 
     attempt: int = 0
@@ -109,6 +110,7 @@
     address: str = ""
     lost: LostWorkers = LostWorkers()
     worker_started_ms: int = 0
+    seen: bool = False
 
 
 class PhaseProgress(msgspec.Struct, frozen=True, tag="p"):
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -170,6 +170,43 @@
     assert get_code(machine, job) == Code.JOB_FAILED
 
 
+@pytest.mark.parametrize("restarts", [False, True], ids=["renamed", "same-name"])
+def test_crashes_that_show_after_the_lease_end_a_task_as_soon_as_others(restarts):
+    # Each worker was back after its lease of 2 s: five were lost instead of three, and
+    # so were others' runs beside them.
+    job = make_job(1, ONE)
+    machine = make_crashing(job, count=4)
+    machine.submit(job)
+    world = machine.world
+    for _ in range(900):
+        machine.step()
+        for worker in list(world.workers.values()):
+            is_over = machine.now_s > worker.dead_since_s + 12.0
+            if is_over and world.find_at(worker.address) is None:
+                if restarts:
+                    world.restart(worker, machine.now_s)
+                else:
+                    worker.listed = False
+                    world.begin_life(worker)
+    check_history(machine)
+    assert get_code(machine, job) == Code.JOB_FAILED
+    assert count_starts(machine, job) <= 4
+
+
+def test_a_worker_that_was_cut_off_has_not_crashed():
+    job = make_job(1, ONE)
+    machine = make_machine(2, (job,), work_s=1e9)
+    machine.submit(job)
+    machine.run(2.0)
+    name = find_run(machine)
+    machine.cut.add(name)
+    machine.run(15.0)
+    machine.cut.clear()
+    machine.run(2.0)
+    _, task = machine.owner.scheduler.state.find(f"{job.job_id}.0.0.0")
+    assert (task.lost.crashes, task.lost.unsure) == (0, 1)
+
+
 def lose_worker(machine: FleetMachine, name: str) -> None:
     worker = machine.world.workers[name]
     machine.world.kill(worker, machine.now_s)
@@ -212,6 +249,18 @@
     assert get_code(machine, job) == Code.JOB_FAILED
 
 
+def test_that_an_attempt_was_seen_to_run_outlives_its_owner():
+    # Work that crashes workers while owners change each second was started for ever.
+    job = make_job(1, ONE)
+    machine = make_machine(2, (job,), work_s=60.0)
+    machine.submit(job)
+    machine.run(1.0)
+    machine.replace_owner()
+    _, task = machine.owner.scheduler.state.find(f"{job.job_id}.0.0.0")
+    assert task.seen_before
+    assert not task.seen_running
+
+
 def test_the_count_outlives_the_owner_and_old_records_have_none():
     crashed = TaskProgress(attempt=3, lost=LostWorkers(crashes=2, blamed=1))
     phase = PhaseId("1", 0, 0)
