Log that an attempt runs only where its task has lost a worker

What it is for, telling a lost run from a start that was never carried out, matters from the second loss on.

--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -302,7 +302,7 @@
 
     def note_running(self, phase: Phase, task: Task) -> None:
         """Note that the worker has said that an attempt runs."""
-        if not task.was_seen:
+        if task.lost.count and not task.was_seen:
             # Another owner could not tell it from a start that was never carried out.
             self._dirty[id(phase)] = phase
         task.note_running()
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -255,8 +255,11 @@
     machine = make_machine(2, (job,), work_s=60.0)
     machine.submit(job)
     machine.run(1.0)
+    lose_worker(machine, find_run(machine))
+    machine.run(2.0)
     machine.replace_owner()
     _, task = machine.owner.scheduler.state.find(f"{job.job_id}.0.0.0")
+    assert (task.attempt, task.lost.count) == (2, 1)
     assert task.seen_before
     assert not task.seen_running
 
