--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -485,7 +485,7 @@
             case ReportAnswer(worker, _, Failure(problem)):
                 if problem.code is Code.ORDER_REFUSED:
                     scheduler.note_refused(worker)
-                self._handle_failed_call(worker, problem.code, now_s)
+                self._handle_failed_call(worker, problem.code, now_s, problem.detail)
             case StartDropped(_, task, attempt):
                 scheduler.note_never_sent(task, attempt, now_s)
             case StartAnswer(worker, task, attempt, code, may_have_started, detail):
@@ -493,20 +493,23 @@
                     task, attempt, code, may_have_started, now_s, detail
                 )
                 if code is not None:
-                    self._handle_failed_call(worker, code, now_s)
+                    self._handle_failed_call(worker, code, now_s, detail)
             case StopAnswer(worker, task, attempt, None):
                 scheduler.handle_stop_answer(task, attempt, now_s)
             case StopAnswer(worker, _, _, code):
                 self._handle_failed_call(worker, code, now_s)
 
-    def _handle_failed_call(self, worker: str, code: Code, now_s: float) -> None:
+    def _handle_failed_call(
+        self, worker: str, code: Code, now_s: float, detail: str = ""
+    ) -> None:
         match code:
             case Code.FENCED:
                 self._tenure.give_up(f"worker {worker} knows a newer term")
             case Code.WORKER_REPLACED:
                 self.scheduler.note_replaced(worker, now_s)
             case Code.WORKER_SILENT | Code.WORKER_UNREACHABLE:
-                self.scheduler.note_silent(worker, now_s)
+                reason = f"{code.name} {detail}".strip()
+                self.scheduler.note_silent(worker, now_s, reason)
 
     # Carrying out decisions.
 
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -153,15 +153,27 @@
         """Apply a lease note once it is on the log; return who may get leases again."""
         return self._silent_leases.grant(note)
 
-    def note_silent(self, worker: str, asked_s: float) -> None:
-        """Note that a call to a worker at ``asked_s`` got no answer."""
+    def note_silent(self, worker: str, asked_s: float, reason: str = "") -> None:
+        """Note that a call to a worker at ``asked_s`` got no answer.
+
+        ``reason`` is the error of the call, for the log.
+        """
         found = self.state.workers[worker]
         if found.silent:
             return
         found.silent = True
         found.silent_s = asked_s
         self.state.changed = True
-        self.state.note("worker-silent", worker=worker, tasks=len(found.tasks))
+        self.state.note(
+            "worker-silent",
+            worker=worker,
+            tasks=len(found.tasks),
+            leaving=found.leaving,
+            heard_age_s=round(asked_s - found.heard_s, 4),
+            seen=found.seen,
+            lease_left_s=round(found.lease_end_s - asked_s, 3),
+            reason=reason,
+        )
         if not found.hall:
             return
         if self.state.doubts.note_silent(found.hall, worker, asked_s):
@@ -374,7 +386,12 @@
                 worker.incarnation.started_ms = entry.started_ms
         worker.update_attributes(entry)
         if entry.leaving and not worker.leaving:
-            self.state.note("worker-leaving", worker=worker.name)
+            self.state.note(
+                "worker-leaving",
+                worker=worker.name,
+                remaining_s=entry.remaining_s,
+                tasks=len(worker.tasks),
+            )
             worker.leaving = True
             if entry.remaining_s is not None:
                 worker.leaves_s = now_s + entry.remaining_s
