Let simulated workers lose answers, and test what an owner learns then

The stand-ins could not express that a worker has written an answer which is lost because the worker ends. The machine of the interleavings now loses answers by address and lists ends as a waiting call does, and a check compares starts with the ends that were listed, heard or not.

--- a/tests/control/test_worker_session.py
+++ b/tests/control/test_worker_session.py
@@ -480,3 +480,68 @@
     await wait_for_calls(worker, 1)
     await session.close()
     assert worker.calls[0].token == 6
+
+
+class LeavingWorker:
+    """Simulated worker that lists an end in an answer that is lost.
+
+    It answers the first call. The second is lost after a task has ended, or before if
+    ``ends_task`` is False. It then answers again if ``stays``, else it has ended.
+    """
+
+    def __init__(self, *, ends_task: bool = True, stays: bool = False):
+        self.calls = []
+        self.written = []
+        self._ends_task = ends_task
+        self._stays = stays
+
+    async def renew(self, call):
+        self.calls.append(call)
+        await asyncio.sleep(0.001)
+        ended = EndedTask(1, ORDER.task, ORDER.attempt, EndKind.DONE, "")
+        match len(self.calls):
+            case 1:
+                return Success(WorkerReport(0, (), ()))
+            case 2:
+                self.written += [ended] if self._ends_task else []
+                return Failure(Problem(Code.WORKER_SILENT))
+            case _ if self._stays:
+                ends = (ended,) if call.acknowledged < 1 else ()
+                return Success(WorkerReport(0, (), ends))
+        return Failure(Problem(Code.WORKER_UNREACHABLE))
+
+
+async def collect_reports(worker: LeavingWorker, count: int) -> list[ReportAnswer]:
+    """Return the first messages of a session on the reports of a worker."""
+    messages = []
+    session = make_session(worker, tell=messages.append)
+    await session.start()
+    async with asyncio.timeout(10):
+        while len(messages) < count:
+            await asyncio.sleep(0.005)
+    await session.close()
+    return messages[:count]
+
+
+async def test_an_end_in_a_lost_answer_is_listed_again_while_the_worker_stays():
+    worker = LeavingWorker(stays=True)
+    messages = await collect_reports(worker, 3)
+    assert worker.written
+    assert messages[2].result.unwrap().ended == tuple(worker.written)
+    assert [call.acknowledged for call in worker.calls[:3]] == [0, 0, 0]
+
+
+async def test_an_end_in_a_lost_answer_is_not_told_apart_from_no_end():
+    # Therefore only what is done before the answer can keep the task from a second run.
+    listed = LeavingWorker(ends_task=True)
+    unlisted = LeavingWorker(ends_task=False)
+    told = [await collect_reports(worker, 4) for worker in (listed, unlisted)]
+    codes = [[_get_code(message) for message in messages] for messages in told]
+    assert listed.written
+    assert not unlisted.written
+    assert codes[0] == codes[1]
+    assert codes[0][1:] == [
+        Code.WORKER_SILENT,
+        Code.WORKER_UNREACHABLE,
+        Code.WORKER_UNREACHABLE,
+    ]
--- a/tests/fleet/checks.py
+++ b/tests/fleet/checks.py
@@ -7,7 +7,13 @@
 from tests.fleet.machine import FleetMachine
 from tests.fleet.sim_worker import STOP_S, Run
 
-__all__ = ["check_given_up", "check_history", "check_outcomes", "check_running"]
+__all__ = [
+    "check_given_up",
+    "check_history",
+    "check_listed_ends",
+    "check_outcomes",
+    "check_running",
+]
 
 CANCEL_LIMIT_S = 3.0
 """Time after a cancellation within which its tasks may still start or be stopped."""
@@ -15,6 +21,8 @@
 """Time resolution of the simulation: one step and accumulated rounding errors."""
 OWNER_SETTLE_S = 3.0
 """Time after a take-over from which the owner must know what the log says."""
+NOTED_S = 0.1
+"""Time after which a listed end counts as acknowledged, unless the worker crashes."""
 MAX_CRASHES = 3
 """Workers that a task may crash before its starts are limited.
 
@@ -49,6 +57,44 @@
         _check_spread(machine, phase, runs)
 
 
+def check_listed_ends(machine: FleetMachine) -> None:
+    """Raise ``AssertionError`` if a start disregards an end that a worker has listed.
+
+    It counts that the worker wrote the answer, even if the answer got lost because the
+    worker left; only crashes and leases that lapsed in between excuse the start.
+    """
+    history = machine.world.history
+    failed: Counter[str] = Counter()
+    for run in sorted(history, key=lambda run: run.ended_s or float("inf")):
+        if not _counts_as_noted(run):
+            continue
+        phase = run.task.rpartition(".")[0]
+        unit = phase if phase in machine.world.gangs else run.task
+        failed[run.task] += run.kind is EndKind.FAILED
+        later = [
+            start
+            for start in history
+            if unit in (start.task, start.task.rpartition(".")[0])
+            and start.attempt > run.attempt
+            and start.began_s >= run.ended_s
+        ]
+        if run.kind is EndKind.DONE:
+            assert not later, f"{unit} started again after {run.worker} listed it done"
+        limit = machine.jobs[run.task.split(".")[0]].terms.max_attempts
+        if run.kind is EndKind.FAILED and failed[run.task] >= limit:
+            assert not later, f"{unit} started again after its last listed failure"
+
+
+def _counts_as_noted(run: Run) -> bool:
+    if run.listed_s is None:
+        return False
+    worker = run.sim_worker
+    noted_s = run.listed_s + NOTED_S
+    lapsed = run.ended_s <= worker.lease_lapsed_s <= noted_s
+    crashed = worker.ends_s == float("inf") and worker.dead_since_s <= noted_s
+    return not (lapsed or crashed)
+
+
 def check_outcomes(machine: FleetMachine) -> None:
     """Raise ``AssertionError`` if a job's outcome does not match its tasks' ends."""
     done = {run.task for run in machine.world.history if run.kind is EndKind.DONE}
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -207,7 +207,12 @@
 
 
 class FleetMachine:
-    """A simulation of workers, log and owner; ``step`` advances its time."""
+    """A simulation of workers, log and owner; ``step`` advances its time.
+
+    Workers at an address in ``lost_answers`` carry out all calls, but their answers are
+    lost. If ``calls_wait`` is set, a worker lists the end of a task at once, as it does
+    in the answer to a call that waits for an end.
+    """
 
     def __init__(
         self,
@@ -227,6 +232,8 @@
         self.offset = 0
         self.cancelled_s: dict[str, float] = {}
         self.cut: set[str] = set()
+        self.lost_answers: set[str] = set()
+        self.calls_wait = False
         self.lost_answer_share = 0.0
         self.slow_answer_share = 0.0
         self.order_delay_s: dict[str, float] = {}
@@ -295,6 +302,10 @@
         scheduler.load_jobs(self.registry, self.now_s, self.now_ms)
         self.owner = _Owner(self.term, scheduler)
 
+    def read_list(self) -> None:
+        """Read the list of workers at once, before the owner's next step."""
+        self._read_workers()
+
     def step(self) -> None:
         """Advance time by ``STEP_S``."""
         self.now_s += STEP_S
@@ -486,9 +497,16 @@
     def _request_due_reports(self, owner: _Owner) -> None:
         for session in owner.sessions.values():
             due = session.report_due and not session.awaiting_report
-            if due and self.now_s >= session.next_report_s:
+            is_time = self.now_s >= session.next_report_s
+            if due and (is_time or self._answers_waiting_call(session)):
                 self._request_report(owner, session)
 
+    def _answers_waiting_call(self, session: _Session) -> bool:
+        # The session has no waiting call open while its worker is silent.
+        worker = self.world.find_at(session.address)
+        is_open = self.calls_wait and not session.silent and worker is not None
+        return is_open and self.world.has_unlisted_ends(worker)
+
     def _request_report(self, owner: _Owner, session: _Session) -> None:
         if not self._refresh_token(owner, session):
             return
@@ -745,6 +763,8 @@
             return Failure(Problem(Code.WORKER_REPLACED))
         sent = _make_first_order(order, worker)
         result = self._execute_order(worker, sent, late=False)
+        if session.address in self.lost_answers:
+            return None
         match order, result:
             case StartOrder(), Success(_) if sent is not order:
                 return Failure(Problem(Code.ORDER_TOO_LATE))
--- a/tests/fleet/sim_worker.py
+++ b/tests/fleet/sim_worker.py
@@ -49,9 +49,10 @@
     """A run of a task, recorded for the checks; ``ended_s`` is None while it runs.
 
     ``end_acknowledged`` is True if the end was acknowledged before the worker's lease
-    lapsed: only then must the owner know of it. ``late`` is True if the start was
-    executed late, ``lost`` if the worker ended while the task ran. ``term`` is the
-    owner's, ``sim_worker`` the incarnation that ran the task.
+    lapsed: only then must the owner know of it. ``listed_s`` is when the worker first
+    wrote an answer that lists the end, whether or not it arrived. ``late`` is True if
+    the start was executed late, ``lost`` if the worker ended while the task ran.
+    ``term`` is the owner's, ``sim_worker`` the incarnation that ran the task.
     ``sent_before_restart`` is True if the start was sent before this incarnation began
     and took effect before a call with a higher token arrived. ``work_began_s`` is the
     time from which the task works; members of a gang work once all of them run.
@@ -65,6 +66,7 @@
     ended_s: float | None = None
     kind: EndKind | None = None
     end_acknowledged: bool = False
+    listed_s: float | None = None
     late: bool = False
     sent_before_restart: bool = False
     lost: bool = False
@@ -79,7 +81,8 @@
     """One incarnation of a worker; its clock runs at ``rate`` times true time.
 
     ``listed`` is True while its entry is on the platform's list, ``leaving`` once it
-    has announced that it leaves. ``serves_until_s`` is the time until which it serves
+    has announced that it leaves, ``tells_remaining`` if its entry then tells how long
+    it stays. ``serves_until_s`` is the time until which it serves
     at least, ``ends_s`` the time at which it ends. Its clock counts from ``started_s``.
     ``closed_attempts`` holds for each task the highest attempt that ended or was
     stopped: starts up to that one are refused. ``number`` is that of the last end.
@@ -95,6 +98,7 @@
     lease_until_ms: int = 0
     listed: bool = True
     leaving: bool = False
+    tells_remaining: bool = True
     serves_until_s: float = float("inf")
     ends_s: float = float("inf")
     dead: bool = False
@@ -234,6 +238,10 @@
             RunningTask(run.task, run.attempt, "", 100) for run in worker.runs.values()
         )
         ended = tuple(worker.ends)
+        for end in ended:
+            run = self._ended[(worker.name, worker.started_ms, end.number)]
+            if run.listed_s is None:
+                run.listed_s = now_s
         return Success(
             WorkerReport(clock_ms, running, ended, started_ms=worker.started_ms)
         )
@@ -310,6 +318,13 @@
         self.workers[worker.name] = worker
         return worker
 
+    def has_unlisted_ends(self, worker: SimWorker) -> bool:
+        """Tell whether a call that waits for an end would be answered."""
+        return any(
+            self._ended[(worker.name, worker.started_ms, end.number)].listed_s is None
+            for end in worker.ends
+        )
+
     def find_at(self, address: str) -> SimWorker | None:
         """Return the worker that is up at an address."""
         for worker in self.workers.values():
@@ -391,6 +406,7 @@
 
 def make_listed(worker: SimWorker, now_s: float) -> ListedTaskWorker:
     """Return the entry of a worker on the platform's list."""
+    tells = worker.leaving and worker.tells_remaining
     return ListedTaskWorker(
         worker.name,
         "service",
@@ -400,7 +416,7 @@
         frozenset(("a", worker.rack)),
         worker.capacity,
         worker.leaving,
-        max(0.0, worker.serves_until_s - now_s) if worker.leaving else None,
+        max(0.0, worker.serves_until_s - now_s) if tells else None,
         worker.get_clock_ms(now_s),
         worker.started_ms,
     )
