Hold a worker's departure as one state and stop saving tasks under each owner

Callers saw tasks with checkpoints die with a leaving worker and begin again only after its lease where the owner had changed since the announcement, though a stop would have saved them.

Cause: such tasks were stopped by the event of the announcement, once, for the tasks that were known then. A new owner reads the list of workers before the jobs, so that it found none. Flags in the worker, the scheduler and the counts of lost workers each held a part of the departure.

Change: fleet/departure.py holds whether and how a worker leaves (staying, announced, unannounced). The time of an announced departure follows from the worker's own clock in its reports; a probe asks for one at the announcement. In each step departure_stops.py stops the tasks with checkpoints that aren't expected to stop in time, whichever owner knows of the departure since when.

--- a/src/larkhoist/fleet/policy.py
+++ b/src/larkhoist/fleet/policy.py
@@ -25,6 +25,10 @@
     elsewhere sooner. The lease is longer than the 1.3 s from an unanswered call to the
     next one.
 
+    No task of a leaving worker may end by itself in the last ``departure_margin_s``
+    before it may have left, so that its end is heard. The margin covers a step of the
+    owner, the order to stop the task and the report of an end.
+
     A worker that refuses a start, for lack of room or another reason, gets no tasks for
     ``refused_pause_s``. The pause doubles with each refusal in a row, up to
     ``longest_refused_pause_s``: with a constant pause, tasks kept returning to four
@@ -56,6 +60,7 @@
     cut_off_renewal_s: float = 8.0
     lease_slack_s: float = 0.3
     departing_lease_s: float = 2.0
+    departure_margin_s: float = 0.2
     unlisted_grace_s: float = 2.5
     resend_stop_s: float = 0.7
     refused_pause_s: float = 0.5
--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -2,6 +2,7 @@
 
 from larkhoist.codes import Code
 from larkhoist.fleet.crashes import count_losses
+from larkhoist.fleet.departure import update_from_report
 from larkhoist.fleet.effects import SeenEnds, StopTask
 from larkhoist.fleet.incarnation import IncarnationOrder
 from larkhoist.fleet.proofs import (
@@ -49,6 +50,7 @@
         case _:
             state.late_crashes.drop(worker.name)
     worker.incarnation.record_answer(report.started_ms, now_s)
+    worker.departure = update_from_report(worker.departure, report.clock_ms, asked_s)
     # Counted from now and not from the request, since former owners may have renewed
     # the lease in between.
     state.end_inherited_lease(worker, now_s)
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -9,6 +9,8 @@
 
 from larkhoist.codes import Code
 from larkhoist.fleet.crashes import has_given_up_task
+from larkhoist.fleet.departure import Unannounced, is_departing
+from larkhoist.fleet.departure_stops import get_next_stop_s, stop_tasks_in_time
 from larkhoist.fleet.effects import Round
 from larkhoist.fleet.guarantees import mark_firm
 from larkhoist.fleet.incarnation import IncarnationOrder
@@ -144,7 +146,7 @@
             return None
         policy = self.state.policy
         lease_s = policy.lease_s
-        if found.is_departing(now_s, policy.unlisted_grace_s):
+        if is_departing(found.departure, now_s, policy.unlisted_grace_s):
             lease_s = min(lease_s, policy.departing_lease_s)
         self.state.extend_lease(found, now_s, lease_s)
         return lease_s
@@ -274,6 +276,7 @@
         """Advance the state; return the records to append and the calls to send."""
         state = self.state
         self._check_leases(now_s)
+        stop_tasks_in_time(state, now_s)
         self._send_stops_again(now_s)
         self._end_finished_jobs(now_s, now_ms)
         state.round.leases = self._silent_leases.update(state.workers.values(), now_s)
@@ -295,13 +298,16 @@
         return [w for w in workers if not w.listed and w.address]
 
     def get_next_due_s(self, now_s: float) -> float:
-        """Return when the next run of a scheduled job is due, in monotonic seconds."""
+        """Return when something is due next, in monotonic seconds.
+
+        That is a run of a scheduled job, or the stop of the tasks of a leaving worker.
+        """
         due = [
             phase.due_s
             for active, phase in self.state.iter_phases()
             if not active.ended and phase.due_s > now_s
         ]
-        return min(due, default=float("inf"))
+        return min([*due, get_next_stop_s(self.state, now_s)])
 
     def list_unserved_s(self, now_s: float) -> list[float]:
         """Return for how many seconds each step with waiting tasks has started none."""
@@ -385,17 +391,16 @@
             case IncarnationOrder.SAME if not worker.incarnation.started_ms:
                 worker.incarnation.started_ms = entry.started_ms
         worker.update_attributes(entry)
-        if entry.leaving and not worker.leaving:
+        if entry.leaving and worker.note_leaving(entry, now_s):
             self.state.note(
                 "worker-leaving",
                 worker=worker.name,
                 remaining_s=entry.remaining_s,
                 tasks=len(worker.tasks),
             )
-            worker.leaving = True
-            if entry.remaining_s is not None:
-                worker.leaves_s = now_s + entry.remaining_s
-            self._stop_checkpointing_tasks(worker, now_s)
+            if worker.tasks:
+                # Its clock tells how long ago the entry was written.
+                self.state.round.probes.append(worker.name)
         if entry.capacity != worker.capacity:
             self.state.note(
                 "worker-resized",
@@ -410,20 +415,10 @@
 
     def _mark_listed(self, worker: FleetWorker) -> None:
         if not worker.listed:
-            worker.listed = True
-            worker.unlisted_s = None
+            worker.note_listed_again()
             self.state.changed = True
             self.state.note("worker-listed-again", worker=worker.name)
 
-    def _stop_checkpointing_tasks(self, worker: FleetWorker, now_s: float) -> None:
-        """Stop tasks with checkpoints that would not end before the worker leaves."""
-        left_s = (worker.leaves_s or now_s) - now_s
-        for phase, task in self.state.list_tasks_on(worker):
-            job = self.state.jobs[phase.id.job_id].job
-            expected_s = self.state.runtimes.predict(job.queue, phase.spec.estimate_ms)
-            if phase.spec.checkpoints and expected_s - (now_s - task.began_s) > left_s:
-                self.state.stop(phase, task, now_s)
-
     def _unlist(self, worker: FleetWorker, now_s: float) -> None:
         # A missing entry doesn't prove that the tasks have ended: entries can lapse
         # while workers keep running, and a task started elsewhere would then run twice.
@@ -435,8 +430,7 @@
             tasks=len(worker.tasks),
             lease_left_s=round(worker.lease_end_s - now_s, 3),
         )
-        worker.listed = False
-        worker.unlisted_s = now_s
+        worker.note_unlisted(now_s)
         self.state.changed = True
 
     def _add_unlisted(self, name: str, address: str) -> None:
@@ -452,7 +446,7 @@
             self._began_s + self._get_inherited_lease_s(),
             address,
             listed=False,
-            unlisted_s=self._began_s,
+            departure=Unannounced(self._began_s),
         )
 
     def _get_inherited_lease_s(self) -> float:
--- a/src/larkhoist/fleet/worker.py
+++ b/src/larkhoist/fleet/worker.py
@@ -2,6 +2,14 @@
 
 from dataclasses import dataclass, field
 
+from larkhoist.fleet.departure import (
+    Announced,
+    Departure,
+    Staying,
+    Unannounced,
+    announce,
+    update_from_entry,
+)
 from larkhoist.fleet.incarnation import Incarnation
 from larkhoist.ports.fleet import ListedTaskWorker, Resources
 
@@ -19,12 +27,11 @@
     owner made the last call that was answered, ``silent_s`` when it made the one that
     first got no answer.
 
-    ``unlisted_s`` is when the entry left the list, ``leaves_s`` the announced time of
-    departure, if known, and ``refused_pause_s`` the length of the last pause after a
-    refused start. ``seen`` is the number of the last end taken from its reports.
-    ``strays`` holds, by task, the attempts that its last report named and that are to
-    be stopped. ``was_leaving`` is set if its former incarnation had announced that it
-    leaves.
+    ``departure`` tells whether and how it leaves, and ``refused_pause_s`` the length of
+    the last pause after a refused start. ``seen`` is the number of the last end taken
+    from its reports. ``strays`` holds, by task, the attempts that its last report named
+    and that are to be stopped. ``was_leaving`` is set if its former incarnation had
+    announced that it leaves.
     """
 
     name: str
@@ -37,12 +44,10 @@
     address: str = ""
     granted_end_s: float = float("-inf")
     listed: bool = True
-    leaving: bool = False
-    leaves_s: float | None = None
+    departure: Departure = Staying()
     silent: bool = False
     heard_s: float = float("-inf")
     silent_s: float = float("-inf")
-    unlisted_s: float | None = None
     paused_until_s: float = float("-inf")
     refused_pause_s: float = 0.0
     used: Resources = field(default_factory=Resources)
@@ -75,8 +80,8 @@
         """Discard the former incarnation's state; ends are numbered from 1 again."""
         self.incarnation = Incarnation(started_ms, now_s)
         self.was_leaving = self.leaving
-        self.leaving = False
-        self.leaves_s = None
+        if self.leaving:
+            self.departure = Staying() if self.listed else Unannounced(now_s)
         self.seen = 0
         self.strays = {}
         self.paused_until_s = float("-inf")
@@ -113,23 +118,50 @@
         """Release held room."""
         self.free += need
 
-    def is_departing(self, now_s: float, patience_s: float) -> bool:
-        """Tell whether the worker leaves or was unlisted over ``patience_s`` ago."""
-        if self.leaving:
-            return True
-        return self.unlisted_s is not None and now_s > self.unlisted_s + patience_s
+    @property
+    def leaving(self) -> bool:
+        """Tell whether the worker has announced that it leaves."""
+        return isinstance(self.departure, Announced)
+
+    def note_leaving(self, entry: ListedTaskWorker, now_s: float) -> bool:
+        """Note an entry that announces a departure; return whether it is the first."""
+        match self.departure:
+            case Announced() as departure:
+                self.departure = update_from_entry(departure, entry, now_s)
+                return False
+            case _:
+                self.departure = announce(entry, now_s)
+                return True
+
+    def note_unlisted(self, now_s: float) -> None:
+        """Note that its entry has left the list."""
+        self.listed = False
+        if not self.leaving:
+            self.departure = Unannounced(now_s)
+
+    def note_listed_again(self) -> None:
+        """Note that its entry is back on the list."""
+        self.listed = True
+        if not self.leaving:
+            self.departure = Staying()
 
     @property
     def was_unlisted_before_silent(self) -> bool:
-        """Tell whether its entry left the list before it became silent."""
-        return self.unlisted_s is not None and self.unlisted_s < self.silent_s
+        """Tell whether it left the list, unannounced, before it became silent."""
+        match self.departure:
+            case Unannounced(since_s):
+                return since_s < self.silent_s
+            case _:
+                return False
 
     def has_left(self, now_s: float) -> bool:
         """Tell whether a worker that is gone stayed until its announced departure."""
-        if not self.leaving:
-            return False
         end_s = self.silent_s if self.silent else now_s
-        return self.leaves_s is None or end_s >= self.leaves_s
+        match self.departure:
+            case Announced(serves_until_s=until_s):
+                return until_s is None or end_s >= until_s
+            case _:
+                return False
 
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new tasks may start there; it must have answered once."""
--- a/tests/fleet/test_proofs.py
+++ b/tests/fleet/test_proofs.py
@@ -7,6 +7,7 @@
 import pytest
 
 from larkhoist.codes import Code
+from larkhoist.fleet.departure import Announced, Staying
 from larkhoist.fleet.effects import Round
 from larkhoist.jobs.records import JobOutcome, PhaseId, PhaseProgress, TaskProgress
 from larkhoist.jobs.registry import StagedJobEntry
@@ -289,7 +290,7 @@
     worker = scheduler.state.workers[start.worker]
     at_s = machine.now_s + 5
     for leaving, longest_s in ((False, policy.lease_s), (True, 2.0)):
-        worker.leaving = leaving
+        worker.departure = Announced(0, None) if leaving else Staying()
         worker.lease_end_s = at_s
         lease_s = scheduler.grant_lease(start.worker, at_s)
         assert lease_s == longest_s
