Let no task end so late that its end may be lost with its worker

Cause: an end stands only in the answer that lists it, and an answer that is on its way when the worker ends is lost with it. What proves later that nothing runs can't prove that nothing had ended. So after the answer is written no decision helps. The owner knew the time from the announcement, but let tasks run beyond it, and reckoned it up to 0.7 s late.

Workers left 0 to 20 ms after the announced time in each of 780 departures measured.

The owner wakes for these stops. Stops are not sent again to a worker that has left.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -281,6 +281,8 @@
             await asyncio.sleep(PAUSE_RATIO * took_s)
 
     def _get_pause_s(self) -> float:
+        if self._decisions_paused:
+            return MAX_PAUSE_S
         now_s, _ = _get_times()
         return max(0.0, min(MAX_PAUSE_S, self.scheduler.get_next_due_s(now_s) - now_s))
 
--- a/src/larkhoist/fleet/departure.py
+++ b/src/larkhoist/fleet/departure.py
@@ -88,13 +88,21 @@
     if entry.remaining_s is None or entry.clock_ms == departure.clock_ms:
         return departure
     later = announce(entry, now_s)
+    sooner_s = max(0.0, _get_until_clock_s(departure) - _get_until_clock_s(later))
     return replace(
         later,
         listed_until_s=min(departure.listed_until_s, later.listed_until_s),
-        reported_until_s=departure.reported_until_s,
+        reported_until_s=departure.reported_until_s - sooner_s,
     )
 
 
+def _get_until_clock_s(departure: Announced) -> float:
+    """Return until when the worker serves by its own clock, in seconds."""
+    if departure.remaining_s is None:
+        return float("inf")
+    return departure.clock_ms / 1000 + departure.remaining_s
+
+
 def update_from_report(
     departure: Departure, clock_ms: int, asked_s: float
 ) -> Departure:
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -10,7 +10,7 @@
 from larkhoist.codes import Code
 from larkhoist.fleet.crashes import has_given_up_task
 from larkhoist.fleet.departure import Unannounced, is_departing
-from larkhoist.fleet.departure_stops import get_next_stop_s, stop_tasks_in_time
+from larkhoist.fleet.departure_stops import stop_tasks_in_time
 from larkhoist.fleet.effects import Round
 from larkhoist.fleet.guarantees import mark_firm
 from larkhoist.fleet.incarnation import IncarnationOrder
@@ -50,6 +50,7 @@
         self._guarantees: dict[str, int] = {}
         self._began_s = began_s
         self._next_placement_s = float("-inf")
+        self._next_stop_s = float("inf")
         self._has_more = False
         self._added_job_ids: set[str] = set()
         self._replaced_started_ms: dict[str, int] = {}
@@ -276,7 +277,7 @@
         """Advance the state; return the records to append and the calls to send."""
         state = self.state
         self._check_leases(now_s)
-        stop_tasks_in_time(state, now_s)
+        self._next_stop_s = stop_tasks_in_time(state, now_s)
         self._send_stops_again(now_s)
         self._end_finished_jobs(now_s, now_ms)
         state.round.leases = self._silent_leases.update(state.workers.values(), now_s)
@@ -300,14 +301,15 @@
     def get_next_due_s(self, now_s: float) -> float:
         """Return when something is due next, in monotonic seconds.
 
-        That is a run of a scheduled job, or the stop of the tasks of a leaving worker.
+        That is a run of a scheduled job, or the stop of tasks on a leaving worker. A
+        stop that has fallen due since the last decision is due now.
         """
         due = [
             phase.due_s
             for active, phase in self.state.iter_phases()
             if not active.ended and phase.due_s > now_s
         ]
-        return min([*due, get_next_stop_s(self.state, now_s)])
+        return min([*due, self._next_stop_s])
 
     def list_unserved_s(self, now_s: float) -> list[float]:
         """Return for how many seconds each step with waiting tasks has started none."""
@@ -331,6 +333,8 @@
     def _send_stops_again(self, now_s: float) -> None:
         resend_before_s = now_s - self.state.policy.resend_stop_s
         for worker in self.state.workers.values():
+            if worker.silent and worker.has_left(now_s):
+                continue
             for _, task in self.state.list_tasks_on(worker):
                 if (
                     task.state is TaskState.STOPPING
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -211,7 +211,8 @@
 
     Workers at an address in ``lost_answers`` carry out all calls, but their answers are
     lost. If ``calls_wait`` is set, a worker lists the end of a task at once, as it does
-    in the answer to a call that waits for an end.
+    in the answer to a call that waits for an end. While ``owner_is_away``, no owner
+    makes calls or decides, as between two owners.
     """
 
     def __init__(
@@ -234,6 +235,7 @@
         self.cut: set[str] = set()
         self.lost_answers: set[str] = set()
         self.calls_wait = False
+        self.owner_is_away = False
         self.lost_answer_share = 0.0
         self.slow_answer_share = 0.0
         self.order_delay_s: dict[str, float] = {}
@@ -319,6 +321,8 @@
             for former in self._former_owners
             if former.renews_until_s > self.now_s
         ]
+        if self.owner_is_away:
+            return
         for owner in (*self._former_owners, self.owner):
             self._request_due_reports(owner)
         self._step_owner(self.owner)
