--- a/review/2/check.py
+++ b/review/2/check.py
@@ -10,19 +10,16 @@
 import asyncio
 import os
 import signal
-import sys
-import tempfile
 from pathlib import Path
 
+from fakes.case import Result, run_case
 from fakes.channel import Channel, NoAnswerError
-from fakes.client import PREFIX, Client, Record, put_configuration
+from fakes.client import PREFIX
 from fakes.instance import BOUNDS, Instance
-from fakes.store import Store
-from fakes.worker import Worker
+from fakes.site import Site
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
-ZONES = ("palermo-a", "catania-b", "messina-c")
 INSTANCES = 6
+WORKERS = 3
 ROUNDS = 2
 CHANNELS = 12
 FIRST_S = (2.200, 2.201, 2.202, 2.203, 2.205, 2.208)
@@ -37,46 +34,14 @@
 STEP = {"count": 1, "cpu": 100, "mem_mb": 100, "estimate_ms": 500}
 
 
-class Site:
-    """Store, runners and instances."""
+class Restarts:
+    """Stops instances and hands jobs in on their open channels; ``lost`` counts."""
 
-    def __init__(self, folder: Path):
-        self.record = Record(Path(__file__).parent / "record.txt")
+    def __init__(self, site: Site):
         self.lost = 0
-        self._folder = folder
-        self._store = Store()
-        self._client = Client(self.record)
-        self._workers: list[Worker] = []
-        self.instances: list[Instance] = []
+        self._site = site
         self._jobs = 0
 
-    async def start(self) -> None:
-        """Start everything and wait until the instances are ready."""
-        await self._store.start()
-        await put_configuration(self._store, 3)
-        for zone in ZONES:
-            hold_max_s = BOUNDS["hold_max_ms"] / 1000
-            worker = Worker(f"i-{zone}", zone, WORK_S, hold_max_s, self.record)
-            self._workers.append(worker)
-            await worker.start(self._store)
-        for number in range(INSTANCES):
-            zone = ZONES[number % len(ZONES)]
-            name = f"edge-{zone}-{number}"
-            address = self._store.address
-            self.instances.append(Instance(name, zone, address, self._folder))
-        await asyncio.gather(*(one.start() for one in self.instances))
-        await asyncio.gather(*(self._wait_until_ready(o) for o in self.instances))
-
-    async def close(self) -> None:
-        """End all processes and close the stand-ins."""
-        for instance in self.instances:
-            await instance.close()
-        await self._client.close()
-        for worker in self._workers:
-            await worker.close()
-        await self._store.close()
-        self.record.close()
-
     async def stop(self, instance: Instance, first_s: float) -> None:
         """Stop an instance and start it again; hand jobs in on its open channels."""
         loop = asyncio.get_running_loop()
@@ -88,7 +53,7 @@
         begun_s = loop.time()
         if HAS_TROUBLE:
             instance.send_signal(signal.SIGTERM)
-            self.record("sigterm", instance=instance.name)
+            self._site.record("sigterm", instance=instance.name)
         sends = [
             self._send(channel, begun_s + first_s + SPREAD_S * number / CHANNELS)
             for number, channel in enumerate(channels)
@@ -100,7 +65,7 @@
             async with asyncio.timeout(STOP_S):
                 await instance.process.wait()
             await instance.launch()
-            await self._wait_until_ready(instance)
+            await self._site.wait_until_ready(instance)
 
     async def _send(self, channel: Channel, at_s: float) -> None:
         loop = asyncio.get_running_loop()
@@ -108,54 +73,42 @@
         job_id = f"{self._jobs:016x}"
         await asyncio.sleep(max(0.0, at_s - loop.time()))
         sent_s = loop.time()
-        self.record("sent", job=job_id)
+        self._site.record("sent", job=job_id)
         try:
             body = {"spec": job_id, "steps": [STEP]}
             status = await channel.call("POST", PREFIX + job_id, body)
-            self.record("answered", job=job_id, status=status)
+            self._site.record("answered", job=job_id, status=status)
         except NoAnswerError as error:
             took_s = loop.time() - sent_s
             is_lost = took_s > SLACK_S and not error.was_reset
             self.lost += is_lost
-            self.record(
+            self._site.record(
                 "lost" if is_lost else "closed",
                 job=job_id,
                 after_s=round(took_s, 3),
                 reset=error.was_reset,
             )
 
-    async def _wait_until_ready(self, instance: Instance) -> None:
-        call = (instance.readiness, "GET", "/v1/readyz")
-        while (await self._client.call(*call))[0] != 200:
-            await asyncio.sleep(0.2)
-
 
-async def check(site: Site) -> int:
-    """Play the case and return the exit status."""
+async def check(site: Site) -> Result:
+    """Play the case and return its result."""
+    restarts = Restarts(site)
     for _ in range(ROUNDS):
         stops = []
         for instance, first_s in zip(site.instances, FIRST_S, strict=True):
-            stops.append(asyncio.create_task(site.stop(instance, first_s)))
+            stops.append(asyncio.create_task(restarts.stop(instance, first_s)))
             await asyncio.sleep(GAP_S)
         await asyncio.gather(*stops)
-    site.record("result", lost=site.lost)
-    return BROKEN if site.lost else HELD
-
-
-async def main() -> int:
-    """Run the case within the time limit."""
-    with tempfile.TemporaryDirectory() as folder:
-        site = Site(Path(folder))
-        try:
-            async with asyncio.timeout(TIME_LIMIT_S):
-                await site.start()
-                status = await check(site)
-        except TimeoutError:
-            status = NOT_RUN
-        finally:
-            await site.close()
-    return status
+    site.record("result", lost=restarts.lost)
+    return Result.BROKEN if restarts.lost else Result.HELD
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    run_case(
+        check,
+        Path(__file__).parent,
+        workers=WORKERS,
+        work_s=WORK_S,
+        time_limit_s=TIME_LIMIT_S,
+        instances=INSTANCES,
+    )
--- a/review/fakes/worker.py
+++ b/review/fakes/worker.py
@@ -21,10 +21,7 @@
 
 
 class Worker:
-    """Runner that works ``work_s`` on each task; ``record`` is called with its events.
-
-    While ``is_unhealthy``, it answers starts with 503 and does nothing.
-    """
+    """Runner that works ``work_s`` on each task; ``record`` is told its events."""
 
     def __init__(
         self,
@@ -36,8 +33,6 @@
     ):
         self.name = name
         self.address = ""
-        self.is_unhealthy = False
-        self.starts = 0
         self._zone = zone
         self._work_s = work_s
         self._hold_max_ms = int(1000 * hold_max_s)
@@ -53,8 +48,13 @@
         self._ended = asyncio.Event()
         self._runner: web.AppRunner | None = None
 
-    async def start(self, store: Store, address: str = "") -> None:
-        """Listen on a free port; list ``address`` in the store, or its own if empty."""
+    async def start(self, store: Store) -> None:
+        """Listen on a free port and list it in the store."""
+        await self.listen()
+        await self.register(store)
+
+    async def listen(self) -> None:
+        """Listen on a free port."""
         app = web.Application()
         app.router.add_post("/v1/run-start", self._start_run)
         app.router.add_post("/v1/run-stop", self._stop_run)
@@ -64,10 +64,9 @@
         await web.TCPSite(self._runner, "127.0.0.1", 0).start()
         host, port = self._runner.addresses[0][:2]
         self.address = f"{host}:{port}"
-        await self.register(store, address)
 
     async def register(self, store: Store, address: str = "") -> None:
-        """Write the runner's entry to the store."""
+        """Write the runner's entry, with ``address`` or its own if that is empty."""
         entry = {
             "service": "srv",
             "address": address or self.address,
@@ -93,9 +92,6 @@
 
     async def _start_run(self, request: web.Request) -> web.Response:
         call = await request.json()
-        if self.is_unhealthy:
-            self._record("start-refused", worker=self.name, task=call["task"])
-            return web.json_response({}, status=503)
         refusal = self._refuse(request, call)
         if refusal is not None:
             return refusal
@@ -111,7 +107,6 @@
         loop = asyncio.get_running_loop()
         timer = loop.call_later(self._work_s, self._end, task, "done")
         self._runs[task] = _Run(attempt, timer)
-        self.starts += 1
         self._record("start", worker=self.name, task=task, attempt=attempt)
         return self._answer()
 
