--- a/review/fakes/channel.py
+++ b/review/fakes/channel.py
@@ -37,6 +37,13 @@
         """Close the channel."""
         self._writer.transport.abort()
 
+    async def wait_closed(self) -> None:
+        """Wait until the other side closes the channel."""
+        try:
+            await self._reader.read()
+        except OSError:
+            pass
+
     async def call(self, method: str, path: str, body: dict | None = None) -> int:
         """Send a request and return the status; raise ``NoAnswerError`` without one."""
         sent = b"" if body is None else json.dumps(body).encode()
