--- a/review/fakes/site.py
+++ b/review/fakes/site.py
@@ -73,6 +73,17 @@
         await asyncio.gather(*(one.start() for one in self.instances))
         await asyncio.gather(*(self.wait_until_ready(one) for one in self.instances))
 
+    async def add_instance(self, name: str) -> tuple[Instance, Link]:
+        """Start one more instance, whose calls to the store go through a link."""
+        link = Link(self._store.address)
+        self.links[name] = link
+        await link.start()
+        instance = Instance(name, ZONES[0], link.address, self._folder)
+        self.instances.append(instance)
+        await instance.start()
+        await self.wait_until_ready(instance)
+        return instance, link
+
     async def wait_until_ready(self, instance: Instance) -> None:
         """Wait until an instance reports that it is ready."""
         call = (instance.readiness, "GET", "/v1/readyz")
