Take back the loss of a worker that was only cut off

Cause: when the lease of a silent worker ends, the loss counts as unsure against each of its tasks. A new incarnation in its place turned the loss into a crash, but an answer of the same incarnation, which proves that the worker was only cut off, changed nothing in the count. Five such losses end a job. The log showed job-given-up with crashes=0 blamed=0 unsure=5, after a worker-answers line for four of the five workers.

Change: a loss stays unsettled on its task until an answer settles it. The same incarnation, or an announcement that it leaves, takes it back. The unsettled losses are recorded with the progress of the step, so that the next owner can settle them.

--- a/src/larkhoist/fleet/crashes.py
+++ b/src/larkhoist/fleet/crashes.py
@@ -3,11 +3,17 @@
 A worker that crashes lists no ends, so its tasks are started again elsewhere. A task
 that crashes its workers would repeat this for ever. Therefore each lost worker counts
 against the tasks it ran, and more against the one that most likely caused the crash.
+
+A worker whose lease ended may only have been cut off. Its loss counts until it answers
+again, which takes the loss back. A task that would be given up for such losses is not
+started again until they are settled (``must_wait``).
 """
 
+from dataclasses import replace as replace_fields
+
 from msgspec.structs import replace
 
-from larkhoist.fleet.late_crashes import LostRun
+from larkhoist.fleet.lost_workers import LostIncarnation, UnsettledLoss
 from larkhoist.fleet.proofs import (
     LeaseOver,
     Proof,
@@ -19,11 +25,14 @@
 from larkhoist.jobs.records import LostWorkers
 
 __all__ = [
-    "count_late_crash",
     "count_losses",
     "has_given_up_task",
     "is_given_up",
+    "must_wait",
     "note_start",
+    "settle_as_crash",
+    "settle_as_cut_off",
+    "set_overdue",
 ]
 
 MAX_BLAMED_CRASHES = 3
@@ -38,9 +47,8 @@
 LATE_START_MIN_CRASHES = 2
 """A task with fewer crashes isn't given up for the number of its late starts."""
 MAX_LOST_WORKERS = 5
-"""A task is given up after this many lost workers, whether crashed or cut off. It is
-less likely that a task meets five cut-off workers than that its workers crash and come
-back only after the end of their lease, so that the crashes may never be known."""
+"""A task is given up after this many lost workers of which none has proved that it was
+only cut off. The crashes of workers that don't come back may never be known."""
 MIN_CONFIRMED_LOST = 2
 """On this many of them the task must have been seen to run, or have been the only one
 that had just been started. Other starts that were never answered may not have begun."""
@@ -62,45 +70,84 @@
 
 def count_losses(
     tasks: list[tuple[Phase, Task]], worker: FleetWorker, proof: Proof, now_s: float
-) -> list[LostRun]:
+) -> None:
     """Count a lost worker against the tasks that ran or may have run there.
 
     If another incarnation took its place, the worker has crashed, and the tasks that
-    began last are blamed. Otherwise it may have been cut off. A worker that left as
-    announced isn't counted against tasks that began before the announcement.
-
-    Returns the tasks that were seen to run and may have crashed it.
+    began last are blamed. Otherwise it may have been cut off. A worker that left isn't
+    counted against tasks that began before its departure, and one that announced it
+    after it had become silent has not crashed.
     """
     newest_s = max((task.began_s for _, task in tasks), default=now_s)
     newest = [task for _, task in tasks if task.began_s >= newest_s - NEWEST_WINDOW_S]
     most_blamed = max((t.lost.blamed for _, t in tasks if t.seen_running), default=0)
-    counted = []
     for phase, task in tasks:
         ran_s = now_s - task.began_s
-        if worker.has_left(now_s) and ran_s > DEPARTURE_WINDOW_S:
+        if worker.announced_while_silent:
+            continue
+        has_left = worker.has_left(now_s) or worker.answered_unlisted
+        if has_left and ran_s > DEPARTURE_WINDOW_S:
             continue
         if phase.spec.long_running and task.seen_running and ran_s > STABLE_RUN_S:
             task.lost = LostWorkers()
+            task.unsettled = ()
             continue
         if _has_other_cause(task, proof, most_blamed):
             continue
-        is_confirmed = task.was_seen or newest == [task]
-        counted.append(
-            (task, _add_loss(task, worker, proof, task in newest, is_confirmed))
-        )
-    for task, lost in counted:
-        task.lost = lost
-    if worker.leaving:
-        return []
-    seen = [task for task, _ in counted if task.seen_running]
-    return [LostRun(task.name, task in newest) for task in seen]
-
-
-def count_late_crash(task: Task, run: LostRun) -> None:
-    """Count as a crash a lost worker that was counted as perhaps cut off."""
-    lost = task.lost
-    if lost.unsure > lost.unseen:
-        task.lost = _add_crash(replace(lost, unsure=lost.unsure - 1), run.is_newest)
+        is_unseen = not (task.was_seen or newest == [task])
+        match proof:
+            case LeaseOver():
+                started_ms = worker.incarnation.started_ms
+                loss = UnsettledLoss(
+                    LostIncarnation(worker.name, worker.address, started_ms),
+                    now_s,
+                    may_be_crash=_may_have_crashed(worker) and task.seen_running,
+                    is_newest=task in newest,
+                    is_unseen=is_unseen,
+                )
+                task.unsettled = (*task.unsettled, loss)
+        task.lost = _add_loss(task, worker, proof, task in newest, is_unseen)
+
+
+def settle_as_crash(task: Task, incarnation: LostIncarnation) -> None:
+    """Settle the losses of an incarnation that a later one shows as crashed."""
+    for loss in _take_losses(task, incarnation):
+        if loss.may_be_crash:
+            counted = replace(task.lost, unsure=task.lost.unsure - 1)
+            task.lost = _add_crash(counted, loss.is_newest)
+
+
+def settle_as_cut_off(task: Task, incarnation: LostIncarnation) -> None:
+    """Take back the losses of an incarnation that is proved not to have crashed."""
+    for loss in _take_losses(task, incarnation):
+        task.lost = _remove_unsure(task.lost, loss)
+    if task.lost.count < LATE_START_MIN_LOST:
+        # Otherwise starts from before the next crashes would count as late ones.
+        task.lost = replace(task.lost, late_starts=0)
+
+
+def set_overdue(task: Task, now_s: float) -> None:
+    """Mark the losses for which no proof has come in time."""
+    task.unsettled = tuple(
+        replace_fields(loss, is_overdue=loss.is_overdue or loss.is_overdue_at(now_s))
+        for loss in task.unsettled
+    )
+
+
+def _take_losses(task: Task, incarnation: LostIncarnation) -> list[UnsettledLoss]:
+    """Remove and return the unsettled losses of a task with an incarnation."""
+    taken = [loss for loss in task.unsettled if loss.incarnation == incarnation]
+    task.unsettled = tuple(loss for loss in task.unsettled if loss not in taken)
+    return taken
+
+
+def _remove_unsure(lost: LostWorkers, loss: UnsettledLoss) -> LostWorkers:
+    unseen = max(0, lost.unseen - loss.is_unseen)
+    return replace(lost, unsure=max(0, lost.unsure - 1), unseen=unseen)
+
+
+def _may_have_crashed(worker: FleetWorker) -> bool:
+    return not (worker.leaving or worker.was_unlisted_before_silent)
 
 
 def _has_other_cause(task: Task, proof: Proof, most_blamed: int) -> bool:
@@ -111,7 +158,7 @@
 
 
 def _add_loss(
-    task: Task, worker: FleetWorker, proof: Proof, is_newest: bool, is_confirmed: bool
+    task: Task, worker: FleetWorker, proof: Proof, is_newest: bool, is_unseen: bool
 ) -> LostWorkers:
     lost = task.lost
     match proof:
@@ -120,8 +167,7 @@
         case WorkerRestarted(was_leaving) if task.seen_running and not was_leaving:
             return _add_crash(lost, is_newest)
         case WorkerReplaced() | WorkerRestarted() | LeaseOver():
-            unseen = lost.unseen + (not is_confirmed)
-            return replace(lost, unsure=lost.unsure + 1, unseen=unseen)
+            return replace(lost, unsure=lost.unsure + 1, unseen=lost.unseen + is_unseen)
         case _:
             return lost
 
@@ -139,11 +185,27 @@
 def is_given_up(task: Task) -> bool:
     """Tell whether a task has lost so many workers that it is not run again.
 
-    A task that is done, or of which an earlier attempt is, needs no further run.
+    Losses that may still be taken back don't count. A task that is done, or of which an
+    earlier attempt is, needs no further run.
+    """
+    lost = task.lost
+    for loss in task.unsettled:
+        if not loss.is_overdue:
+            lost = _remove_unsure(lost, loss)
+    return _has_lost_too_many(task, lost)
+
+
+def must_wait(task: Task) -> bool:
+    """Tell whether a task may not start until its unsettled losses are settled.
+
+    It would be given up if these were crashes.
     """
+    return not is_given_up(task) and _has_lost_too_many(task, task.lost)
+
+
+def _has_lost_too_many(task: Task, lost: LostWorkers) -> bool:
     if task.state is TaskState.DONE or task.done_earlier:
         return False
-    lost = task.lost
     if lost.blamed >= MAX_BLAMED_CRASHES:
         return True
     if (
@@ -151,11 +213,10 @@
         and lost.count - lost.unseen >= MIN_CONFIRMED_LOST
     ):
         return True
-    is_waiting = task.state is TaskState.WAITING
+    if task.state is not TaskState.WAITING or lost.count < LATE_START_MIN_LOST:
+        return False
     has_used_late_starts = lost.late_starts >= MAX_LATE_STARTS
-    return (
-        is_waiting and has_used_late_starts and lost.crashes >= LATE_START_MIN_CRASHES
-    )
+    return has_used_late_starts and lost.crashes >= LATE_START_MIN_CRASHES
 
 
 def has_given_up_task(active: ActiveJob) -> bool:
--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -9,7 +9,6 @@
     AbsentFromReport,
     EndListed,
     GangDone,
-    LeaseOver,
     NeverSent,
     Proof,
     StartRefused,
@@ -45,9 +44,8 @@
             return
         case IncarnationOrder.LATER:
             begin_incarnation(state, worker, report.started_ms, now_s, present)
-        case _:
-            state.late_crashes.drop(worker.name)
     worker.incarnation.record_answer(report.started_ms, now_s)
+    state.settle_as_cut_off(worker)
     worker.departure = update_from_report(worker.departure, report.clock_ms, asked_s)
     # Counted from now and not from the request, since former owners may have renewed
     # the lease in between.
@@ -178,10 +176,8 @@
         tasks=len(tasks),
         heard_age_s=round(now_s - worker.heard_s, 3),
     )
-    runs = count_losses(tasks, worker, proof, now_s)
-    match proof:
-        case LeaseOver():
-            state.late_crashes.note(worker, runs, now_s)
+    count_losses(tasks, worker, proof, now_s)
+    state.index_losses(task for _, task in tasks)
     for phase, task in tasks:
         state.release(phase, task, proof, now_s)
 
--- a/src/larkhoist/fleet/restarts.py
+++ b/src/larkhoist/fleet/restarts.py
@@ -45,7 +45,7 @@
             state.stop(phase, task, now_s)
         else:
             task.settled_s = now_s
-    state.take_late_crashes(worker.name, started_ms, worker.address)
+    state.settle_as_crashes(worker.name, started_ms, worker.address)
     worker.begin_incarnation(started_ms, now_s)
     # The later incarnation may have carried out delayed calls to the former one.
     state.extend_lease(worker, now_s, state.policy.lease_s)
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -136,6 +136,11 @@
             if entry.job is None:
                 continue
             self.add_job(entry, now_s, now_ms)
+        for worker in self.state.workers.values():
+            if worker.listed:
+                # It may have come up in place of one that a former owner lost.
+                started_ms = worker.incarnation.started_ms
+                self.state.settle_as_crashes(worker.name, started_ms, worker.address)
         self._silent_leases.take_over(
             registry.remaining_leases_s, self.state.workers, now_s
         )
@@ -265,7 +270,7 @@
             found.strays = {}
             self._replaced_started_ms[worker] = found.incarnation.started_ms
             handle_worker_gone(self.state, found, WorkerReplaced(), now_s)
-            self.state.take_late_crashes("", 0, found.address)
+            self.state.settle_as_crashes("", 0, found.address)
 
     def is_wanted(self, task: str, attempt: int) -> bool:
         """Tell whether a start that was decided earlier is still to be sent.
@@ -288,6 +293,7 @@
         """Advance the state; return the records to append and the calls to send."""
         state = self.state
         self._check_leases(now_s)
+        state.settle_overdue(now_s)
         self._next_stop_s = stop_tasks_in_time(state, now_s)
         self._send_stops_again(now_s)
         self._end_finished_jobs(now_s, now_ms)
@@ -388,7 +394,7 @@
             self.state.workers[entry.name] = worker
         else:
             worker.update_entry(entry)
-        self.state.take_late_crashes(entry.name, entry.started_ms, entry.address)
+        self.state.settle_as_crashes(entry.name, entry.started_ms, entry.address)
         self._update_worker(worker, entry, now_s)
         self.state.note("worker-listed", worker=entry.name, rack=entry.rack)
 
@@ -411,6 +417,8 @@
                 remaining_s=entry.remaining_s,
                 tasks=len(worker.tasks),
             )
+            if worker.announced_while_silent:
+                self.state.settle_as_cut_off(worker)
             if worker.tasks:
                 # Its clock tells how long ago the entry was written.
                 self.state.round.probes.append(worker.name)
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -10,12 +10,19 @@
 from dataclasses import dataclass, field
 
 from larkhoist.codes import Code
-from larkhoist.fleet.crashes import count_late_crash, is_given_up, note_start
+from larkhoist.fleet.crashes import (
+    is_given_up,
+    must_wait,
+    note_start,
+    set_overdue,
+    settle_as_crash,
+    settle_as_cut_off,
+)
 from larkhoist.fleet.doubts import HallDoubts
 from larkhoist.fleet.effects import EndedJob, Note, Round, StartTask, StopTask
 from larkhoist.fleet.handed_on_waits import find_wait_start_ms
 from larkhoist.fleet.headroom import UrgentDemand
-from larkhoist.fleet.late_crashes import LateCrashes
+from larkhoist.fleet.lost_workers import LostWorkerIndex, UnsettledLoss
 from larkhoist.fleet.policy import FleetPolicy
 from larkhoist.fleet.proofs import (
     AbsentFromReport,
@@ -29,7 +36,14 @@
 from larkhoist.fleet.reservations import Reservations
 from larkhoist.fleet.runtimes import QueueRuntimes
 from larkhoist.fleet.speeds import WorkerSpeeds
-from larkhoist.fleet.task import ActiveJob, Phase, Task, TaskState, create_phase
+from larkhoist.fleet.task import (
+    ActiveJob,
+    Phase,
+    Task,
+    TaskState,
+    create_phase,
+    restore_loss,
+)
 from larkhoist.fleet.worker import FleetWorker
 from larkhoist.jobs.records import (
     BlockId,
@@ -88,7 +102,7 @@
         self.doubts = HallDoubts()
         self.urgent_demand = UrgentDemand()
         self.reservations = Reservations()
-        self.late_crashes = LateCrashes()
+        self.lost_workers = LostWorkerIndex()
         self.cordoned_halls: frozenset[str] = frozenset()
         self.round = Round()
         self.changed = True
@@ -119,6 +133,8 @@
                 numbers = blocks_by_step.get((run, step), ())
                 phase.blocks.update(numbers)
                 self._index_phase(phase, now_s)
+                if progress is not None:
+                    self._restore_losses(phase, progress, now_s, now_ms)
                 since_ms = find_wait_start_ms(job, phase.id, entry.phases)
                 self._restore_wait_start(phase, since_ms, now_s, now_ms)
         self.jobs[job.job_id] = active
@@ -146,6 +162,7 @@
             for task in phase.tasks:
                 self._tasks.pop(task.name, None)
                 self.suspects.discard(task.name)
+                self.lost_workers.discard(task.name, task.unsettled)
         del self.jobs[active.job.job_id]
         phases = tuple(phase.id for phase in active.phases.values())
         blocks = tuple(
@@ -379,25 +396,58 @@
         if phase.spec.gang:
             self._stop_gang(phase, now_s)
 
-    def take_late_crashes(self, name: str, started_ms: int, address: str) -> None:
+    def index_losses(self, tasks: Iterable[Task]) -> None:
+        """Index the unsettled losses of tasks by worker."""
+        for task in tasks:
+            for loss in task.unsettled:
+                self.lost_workers.add(task.name, loss)
+
+    def settle_as_crashes(self, name: str, started_ms: int, address: str) -> None:
         """Count the crashes that are shown by a new incarnation at an address."""
-        for run in self.late_crashes.take(name, started_ms, address):
-            found = self._tasks.get(run.task)
-            if found is None or found[1].state is TaskState.DONE:
-                continue
-            phase, task = found
-            count_late_crash(task, run)
-            self.note(
-                "crash-shown-late",
-                task=task.name,
-                attempt=task.attempt,
-                by=name,
-                crashes=task.lost.crashes,
-                blamed=task.lost.blamed,
-                unsure=task.lost.unsure,
-            )
+        for lost in self.lost_workers.list_crashed(name, started_ms, address):
+            for phase, task in self._list_open(self.lost_workers.take(lost)):
+                crashes = task.lost.crashes
+                settle_as_crash(task, lost)
+                if task.lost.crashes > crashes:
+                    self._note_settled("crash-shown-late", task, by=name)
+                self._update_suspect(phase, task)
+                self.mark_dirty(phase, [task])
+
+    def settle_as_cut_off(self, worker: FleetWorker) -> None:
+        """Take back the losses of a worker that has proved that it did not crash."""
+        started_ms = worker.incarnation.started_ms
+        for lost in self.lost_workers.list_cut_off(worker.name, started_ms):
+            for phase, task in self._list_open(self.lost_workers.take(lost)):
+                settle_as_cut_off(task, lost)
+                self._note_settled("loss-taken-back", task, by=worker.name)
+                self._update_suspect(phase, task)
+                self.mark_dirty(phase, [task])
+
+    def settle_overdue(self, now_s: float) -> None:
+        """Count losses as crashes for which no proof has come in time."""
+        for phase, task in self._list_open(self.lost_workers.take_overdue(now_s)):
+            set_overdue(task, now_s)
             self._update_suspect(phase, task)
-            self.mark_dirty(phase, [task])
+
+    def _list_open(self, names: Iterable[str]) -> list[tuple[Phase, Task]]:
+        """Return those of the named tasks that are known and not done."""
+        found = (self._tasks.get(name) for name in sorted(names))
+        return [
+            each
+            for each in found
+            if each is not None and each[1].state is not TaskState.DONE
+        ]
+
+    def _note_settled(self, event: str, task: Task, by: str) -> None:
+        self.note(
+            event,
+            task=task.name,
+            attempt=task.attempt,
+            by=by,
+            crashes=task.lost.crashes,
+            blamed=task.lost.blamed,
+            unsure=task.lost.unsure,
+        )
 
     def note_running(self, phase: Phase, task: Task) -> None:
         """Note that the worker has confirmed that an attempt runs."""
@@ -487,7 +537,10 @@
         else:
             self.suspects.discard(task.name)
         active = self.jobs[phase.id.job_id]
-        if active.ended or active.given_up or not is_given_up(task):
+        if active.ended or active.given_up:
+            return
+        self._update_held(task)
+        if not is_given_up(task):
             return
         active.given_up = True
         self.note(
@@ -502,6 +555,23 @@
             late_starts=task.lost.late_starts,
         )
 
+    def _update_held(self, task: Task) -> None:
+        """Update whether a task waits until its unsettled losses are settled."""
+        is_held = must_wait(task)
+        if is_held == task.is_held:
+            return
+        task.is_held = is_held
+        self.changed = True
+        self.note(
+            "task-held" if is_held else "task-no-longer-held",
+            task=task.name,
+            attempt=task.attempt,
+            crashes=task.lost.crashes,
+            unsure=task.lost.unsure,
+            unsettled=len(task.unsettled),
+            late_starts=task.lost.late_starts,
+        )
+
     def _index_phase(self, phase: Phase, now_s: float) -> None:
         for task in phase.tasks:
             self._tasks[task.name] = (phase, task)
@@ -530,6 +600,21 @@
             phase.due_s, since_s
         )
 
+    def _restore_losses(
+        self, phase: Phase, progress: PhaseProgress, now_s: float, now_ms: int
+    ) -> None:
+        """Restore the unsettled losses that a former owner recorded."""
+        losses: dict[int, list[UnsettledLoss]] = {}
+        for recorded in progress.losses or ():
+            loss = restore_loss(recorded, now_s, now_ms)
+            losses.setdefault(recorded.index, []).append(loss)
+        tasks = [task for task in phase.tasks if task.index in losses]
+        for task in tasks:
+            task.unsettled = tuple(losses[task.index])
+            set_overdue(task, now_s)
+            task.is_held = must_wait(task)
+        self.index_losses(tasks)
+
     def _place_task(self, phase: Phase, task: Task, name: str) -> None:
         worker = self.workers[name]
         task.worker = name
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -3,6 +3,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+import msgspec
+
+from larkhoist.fleet.lost_workers import LostIncarnation, UnsettledLoss
 from larkhoist.fleet.speeds import StepSize
 from larkhoist.fleet.waits import WaitReason
 from larkhoist.jobs.records import (
@@ -10,6 +13,7 @@
     LostWorkers,
     PhaseId,
     PhaseProgress,
+    RecordedLoss,
     TaskProgress,
     count_block_tasks,
     get_first_task,
@@ -17,10 +21,21 @@
 from larkhoist.jobs.spec import StagedJob, StepSpec, make_task_name
 from larkhoist.ports.fleet import Resources
 
-__all__ = ["ActiveJob", "Phase", "Task", "TaskState", "create_phase"]
+__all__ = [
+    "ActiveJob",
+    "Phase",
+    "Task",
+    "TaskState",
+    "create_phase",
+    "restore_loss",
+]
 
 CORES_PER_ACCELERATOR = 8
 """How many cores one accelerator counts for in the cost of work, by their prices."""
+MAX_RECORDED_LOSSES = 500
+"""How many unsettled losses one record holds, some 60 bytes each, so that the progress
+of the widest step stays below the log's limit. Others count as crashes for the next
+owner."""
 
 
 class TaskState(Enum):
@@ -51,10 +66,11 @@
     owner. ``has_begun`` is set if any attempt may have run; after a change of owners
     that is every assigned one. ``is_timed`` is set while the attempt's time can tell
     the speed of its worker (``fleet/task_speeds.py``). ``lost`` counts the workers that
-    were lost while they ran the task. ``done_earlier`` is set while an attempt may run
-    although an earlier one has ended as done; it is stopped. ``worker_started_ms`` is
-    the start time of the worker incarnation that the attempt was assigned to, 0 if
-    unknown.
+    were lost while they ran the task; ``unsettled`` holds those of them that may prove
+    to have been cut off. ``is_held`` is set while the task may not start because of
+    these. ``done_earlier`` is set while an attempt may run although an earlier one has
+    ended as done; it is stopped. ``worker_started_ms`` is the start time of the worker
+    incarnation that the attempt was assigned to, 0 if unknown.
     """
 
     name: str
@@ -77,6 +93,8 @@
     done_earlier: bool = False
     is_timed: bool = False
     lost: LostWorkers = LostWorkers()
+    unsettled: tuple[UnsettledLoss, ...] = ()
+    is_held: bool = False
 
     @property
     def is_on_worker(self) -> bool:
@@ -168,6 +186,10 @@
         if self.closing:
             return []
         waiting = [task for task in self.tasks if task.state is TaskState.WAITING]
+        if any(task.is_held for task in waiting):
+            if self.spec.gang:
+                return []
+            waiting = [task for task in waiting if not task.is_held]
         if self.spec.long_running:
             # Tasks that keep ending must not be placed before the others each time.
             waiting.sort(key=lambda task: task.attempt)
@@ -212,6 +234,7 @@
             tuple(_make_task_progress(task) for task in self.tasks),
             self.failed_attempt,
             self._get_recorded_since_ms(now_s, now_ms),
+            _make_recorded_losses(self.tasks, now_s, now_ms),
         )
 
     def make_block_progress(
@@ -226,6 +249,7 @@
             tuple(_make_task_progress(task) for task in tasks),
             self.failed_attempt,
             self._get_recorded_since_ms(now_s, now_ms),
+            _make_recorded_losses(tasks, now_s, now_ms),
         )
 
     def _get_recorded_since_ms(self, now_s: float, now_ms: int) -> int:
@@ -332,6 +356,42 @@
     )
 
 
+def _make_recorded_losses(
+    tasks: list[Task], now_s: float, now_ms: int
+) -> tuple[RecordedLoss, ...] | msgspec.UnsetType:
+    """Return the unsettled losses of tasks; both times are the current time."""
+    recorded = [
+        RecordedLoss(
+            task.index,
+            loss.incarnation.worker,
+            loss.incarnation.address,
+            loss.incarnation.started_ms,
+            now_ms - int(1000 * (now_s - loss.lost_s)),
+            loss.may_be_crash,
+            loss.is_newest,
+            loss.is_unseen,
+        )
+        for task in tasks
+        if task.state is not TaskState.DONE
+        for loss in task.unsettled
+    ]
+    return tuple(recorded[:MAX_RECORDED_LOSSES]) or msgspec.UNSET
+
+
+def restore_loss(loss: RecordedLoss, now_s: float, now_ms: int) -> UnsettledLoss:
+    """Return a loss that a former owner recorded; both times are the current time.
+
+    A loss in the future comes from a clock that is ahead, and counts from now.
+    """
+    return UnsettledLoss(
+        LostIncarnation(loss.worker, loss.address, loss.started_ms),
+        min(now_s, now_s - (now_ms - loss.lost_ms) / 1000),
+        loss.may_be_crash,
+        loss.is_newest,
+        loss.is_unseen,
+    )
+
+
 def _restore(task: Task, recorded: TaskProgress) -> None:
     task.attempt = recorded.attempt
     task.has_begun = recorded.attempt > 0
--- a/src/larkhoist/fleet/worker.py
+++ b/src/larkhoist/fleet/worker.py
@@ -25,7 +25,7 @@
     ``lease_end_s`` no task can run there, unless a lease is granted again;
     ``granted_end_s`` covers the leases of this owner only. ``heard_s`` is when this
     owner made the last call that was answered, ``silent_s`` when it made the one that
-    first got no answer.
+    first got no answer. ``announced_s`` is when it was first read that it leaves.
 
     ``departure`` tells whether and how it leaves, and ``refused_pause_s`` the length of
     the last pause after a refused start. ``seen`` is the number of the last end taken
@@ -48,6 +48,7 @@
     silent: bool = False
     heard_s: float = float("-inf")
     silent_s: float = float("-inf")
+    announced_s: float = float("-inf")
     paused_until_s: float = float("-inf")
     refused_pause_s: float = 0.0
     used: Resources = field(default_factory=Resources)
@@ -131,6 +132,7 @@
                 return False
             case _:
                 self.departure = announce(entry, now_s)
+                self.announced_s = now_s
                 return True
 
     def note_unlisted(self, now_s: float) -> None:
@@ -145,6 +147,20 @@
         if not self.leaving:
             self.departure = Staying()
 
+    @property
+    def announced_while_silent(self) -> bool:
+        """Tell whether it announced its departure after it had become silent."""
+        return self.leaving and self.silent and self.announced_s > self.silent_s
+
+    @property
+    def answered_unlisted(self) -> bool:
+        """Tell whether it answered after it had left the list, unannounced."""
+        match self.departure:
+            case Unannounced(since_s):
+                return since_s < self.heard_s
+            case _:
+                return False
+
     @property
     def was_unlisted_before_silent(self) -> bool:
         """Tell whether it left the list, unannounced, before it became silent."""
--- a/src/larkhoist/jobs/records.py
+++ b/src/larkhoist/jobs/records.py
@@ -32,6 +32,7 @@
     "LostWorkers",
     "PhaseId",
     "PhaseProgress",
+    "RecordedLoss",
     "RecordedSpeed",
     "RemainingLeases",
     "TaskProgress",
@@ -93,7 +94,7 @@
     - ``crashes``: workers that crashed while the task ran there.
     - ``blamed``: those of ``crashes`` that the task most likely caused.
     - ``unsure``: workers that may only have been cut off, or on which the task may not
-      have run.
+      have run. A worker that proves to have been cut off is taken out again.
     - ``late_starts``: starts of the task after the third lost worker.
     - ``unseen``: those of ``unsure`` that never reported the task as running, while
       other tasks had just been started there as well.
@@ -111,6 +112,29 @@
         return self.crashes + self.unsure
 
 
+class RecordedLoss(msgspec.Struct, frozen=True, array_like=True):
+    """A lost worker of which it is unknown whether it crashed or was cut off.
+
+    - ``index``: the index of the task that it was lost under.
+    - ``worker``, ``address``, ``started_ms``: its name, address and start time (Unix
+      milliseconds, 0 if unknown).
+    - ``lost_ms``: when its lease ended (Unix milliseconds).
+    - ``may_be_crash``: whether a new incarnation in its place shows a crash under the
+      task.
+    - ``is_newest``: whether the task was among those that began there last.
+    - ``is_unseen``: whether the loss is counted in ``LostWorkers.unseen``.
+    """
+
+    index: int
+    worker: str
+    address: str = ""
+    started_ms: int = 0
+    lost_ms: int = 0
+    may_be_crash: bool = False
+    is_newest: bool = False
+    is_unseen: bool = False
+
+
 class TaskProgress(msgspec.Struct, frozen=True, array_like=True):
     """State of one task that a new owner needs.
 
@@ -145,13 +169,15 @@
     ``failed_attempt`` is the last attempt of a gang whose failure was counted; a new
     owner must not count it again when another member of the gang ends. ``since_ms``
     (Unix milliseconds) is the time since which no task has started while some wait,
-    or since which all are done; 0 if unknown.
+    or since which all are done; 0 if unknown. ``losses`` are those of the lost workers
+    that may prove to have been cut off; builds from before them ignore the field.
     """
 
     phase: PhaseId
     tasks: tuple[TaskProgress, ...]
     failed_attempt: int = 0
     since_ms: int = 0
+    losses: tuple[RecordedLoss, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 class BlockId(msgspec.Struct, frozen=True, array_like=True, order=True):
@@ -172,6 +198,7 @@
     tasks: Annotated[tuple[TaskProgress, ...], msgspec.Meta(min_length=1)]
     failed_attempt: int = 0
     since_ms: int = 0
+    losses: tuple[RecordedLoss, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
 class RemainingLeases(msgspec.Struct, frozen=True, tag="l"):
--- a/src/larkhoist/jobs/step_progress.py
+++ b/src/larkhoist/jobs/step_progress.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+import msgspec
 from msgspec.structs import replace
 
 from larkhoist.jobs.records import (
@@ -15,6 +16,7 @@
     BlockProgress,
     PhaseId,
     PhaseProgress,
+    RecordedLoss,
     TaskProgress,
     count_block_tasks,
     get_first_task,
@@ -53,6 +55,7 @@
     records = [each.record for each in sorted(stored, key=lambda each: each.offset)]
     newest = records[-1]
     tasks = [TaskProgress()] * spec.count
+    losses: list[RecordedLoss] = []
     for record in records:
         first, width = 0, spec.count
         if isinstance(record, BlockProgress):
@@ -62,11 +65,20 @@
                 return None
         recorded = record.tasks[:width]
         tasks[first : first + len(recorded)] = recorded
+        replaced = range(first, first + len(recorded))
+        losses = [loss for loss in losses if loss.index not in replaced]
+        losses += [loss for loss in record.losses or () if loss.index in replaced]
     if spec.gang:
         checkpoint = newest.tasks[0].checkpoint if newest.tasks else ""
         tasks = _align_members(tasks, checkpoint)
     failed_attempt = max(record.failed_attempt for record in records)
-    return PhaseProgress(newest.phase, tuple(tasks), failed_attempt, newest.since_ms)
+    return PhaseProgress(
+        newest.phase,
+        tuple(tasks),
+        failed_attempt,
+        newest.since_ms,
+        tuple(losses) or msgspec.UNSET,
+    )
 
 
 def _make_done(task: TaskProgress) -> TaskProgress:
