Refuse records at once after their writer has closed

Waiting calls whose records had never been sent were told that the outcome is unknown. StreamFollower.close cancelled the read that callers of catch_up shared, and the CancelledError went on to their handlers, which answered nothing.

Change: a closed writer refuses with LOG_UNAVAILABLE, which is true: the records are not on the log and never will be. The same is told to waiting calls whose records were never sent; those in flight stay unknown. A check that is cancelled by the close of its follower fails instead of cancelling its callers.

--- a/src/larkhoist/control/stream_follower.py
+++ b/src/larkhoist/control/stream_follower.py
@@ -72,7 +72,7 @@
         self._task = asyncio.create_task(self._run())
 
     async def close(self) -> None:
-        """Stop following."""
+        """Stop following; checks under way fail."""
         await cancel_tasks([self._task, *self._checks])
 
     @property
@@ -102,13 +102,16 @@
             )
             self._checks.add(self._next_check)
             self._next_check.add_done_callback(self._checks.discard)
+        check = self._next_check
         try:
             async with asyncio.timeout(timeout_s):
-                return await asyncio.shield(self._next_check)
+                await asyncio.wait([check])
         except TimeoutError:
             self._running_check = self._next_check = None
             self._record_read(False, asked_s, f"no answer within {timeout_s} s")
             return False
+        # Closing the follower cancels the check, but must not cancel its callers.
+        return not check.cancelled() and check.result()
 
     async def _read_after(self, previous: asyncio.Task | None) -> bool:
         if previous is not None:
--- a/src/larkhoist/control/stream_writer.py
+++ b/src/larkhoist/control/stream_writer.py
@@ -34,13 +34,17 @@
 
 @dataclass(slots=True)
 class _Pending:
-    """Records that go into the same append, and the future of their caller."""
+    """Records that go into the same append, and the future of their caller.
+
+    ``dropped`` is set if the writer has closed before it sent them.
+    """
 
     records: tuple[KeyedRecord, ...]
     added_s: float
     done: asyncio.Future
     sent: bool = False
     refused: bool = False
+    dropped: bool = False
 
 
 def get_batch_limit(bandwidth_mbps: float) -> int:
@@ -87,6 +91,7 @@
         self._single_appends = 0
         self._is_failing = False
         self._times = create_answer_times()
+        self._is_closed = False
         self.fenced = False
 
     async def start(self) -> None:
@@ -94,9 +99,12 @@
         self._task = asyncio.create_task(self._run())
 
     async def close(self) -> None:
-        """Stop appending; waiting calls return that the outcome is unknown."""
+        """Stop appending; waiting calls return, and later ones are refused."""
+        self._is_closed = True
         await cancel_tasks([self._task])
         for pending in [*self._in_flight, *self._queue]:
+            # Records that are queued again after a refusal were sent before.
+            pending.dropped = not pending.sent
             if not pending.done.done():
                 pending.done.set_result(False)
 
@@ -118,11 +126,14 @@
         ``APPEND_REFUSED`` and ``LOG_UNAVAILABLE`` mean that they are not and never will
         be on the log, ``APPEND_UNKNOWN`` that they may be or may still get there. With
         a time-out, records are refused at once if others have waited for ``STALLED_S``.
+        A closed writer refuses all.
         """
         loop = asyncio.get_running_loop()
         pending = _Pending(records, loop.time(), loop.create_future())
         if self.fenced:
             return Problem(Code.FENCED)
+        if self._is_closed:
+            return Problem(Code.LOG_UNAVAILABLE, retry_after_s=RETRY_AFTER_S)
         if timeout_s is not None and self.get_delay_s(pending.added_s) > STALLED_S:
             return Problem(Code.LOG_UNAVAILABLE, retry_after_s=RETRY_AFTER_S)
         ahead = self._split(pending)
@@ -137,6 +148,8 @@
             return Problem(Code.APPEND_REFUSED)
         if appended:
             return None
+        if all(part.dropped for part in (*ahead, pending)):
+            return Problem(Code.LOG_UNAVAILABLE, retry_after_s=RETRY_AFTER_S)
         return Problem(Code.FENCED if self.fenced else Code.APPEND_UNKNOWN)
 
     def _split(self, pending: _Pending) -> list[_Pending]:
--- a/tests/control/test_streams.py
+++ b/tests/control/test_streams.py
@@ -336,3 +336,40 @@
     follower.set_pause_s(0.0)
     await wait_for(lambda: sink.values == [b"1"])
     await follower.close()
+
+
+async def test_a_closed_writer_refuses_records_at_once(log):
+    # Guards against callers that wait for a writer that appends nothing any more.
+    writer = StreamWriter(log, "jobs", "one")
+    await writer.start()
+    await writer.close()
+    async with asyncio.timeout(1):
+        refused = await writer.commit(record(1))
+    assert refused.code is Code.LOG_UNAVAILABLE
+    assert not log.streams
+
+
+async def test_a_writer_that_closes_tells_what_was_never_sent(log, writer):
+    # Guards against callers that don't learn that their records are not on the log.
+    log.silent = True
+    sent = asyncio.create_task(writer.commit(record(1)))
+    await wait_for(lambda: log.appends == 1)
+    waiting = asyncio.create_task(writer.commit(record(2)))
+    await asyncio.sleep(0.01)
+    await writer.close()
+    async with asyncio.timeout(1):
+        problems = [(await each).code for each in (sent, waiting)]
+    assert problems == [Code.APPEND_UNKNOWN, Code.LOG_UNAVAILABLE]
+
+
+async def test_a_check_ends_when_its_follower_closes(log):
+    # Guards against calls that are cancelled with the read that they wait for.
+    follower = StreamFollower(log, "jobs", Sink(), 0.05)
+    await follower.start()
+    await wait_for(lambda: follower.is_loaded)
+    log.silent = True
+    check = asyncio.create_task(follower.catch_up(5.0))
+    await asyncio.sleep(0.05)
+    await follower.close()
+    async with asyncio.timeout(1):
+        assert not await check
