Record that a job has begun when a worker has begun it

Cause: FleetState.assign wrote JobBegun with the decision to start a task. The order may be refused, never sent, not answered or carried out seconds later, and nothing took the record back.

Change: JobBegun is written when a worker shows that it has begun a task, by the answer to a start, a report that names an attempt or a listed end. A new owner writes it if the progress shows a run and the record is missing. Nothing is written for a job that has ended.

A test of block records unpacked the records of a round in which the end of a run is the first that is heard of a job; the round now holds JobBegun as well, and the test asks for both.

--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -198,6 +198,7 @@
 def _take_end(
     state: FleetState, worker: FleetWorker, ended: EndedTask, now_s: float, now_ms: int
 ) -> None:
+    _note_begun(state, ended.task)
     found = state.find_task(ended.task, ended.attempt)
     if found is None and ended.kind is EndKind.DONE:
         found = state.find_waiting(ended.task, ended.attempt)
@@ -227,6 +228,13 @@
             state.release(phase, task, EndListed(ended.kind), now_s)
 
 
+def _note_begun(state: FleetState, task: str) -> None:
+    """Record that a job has begun, of which a worker names an attempt of a task."""
+    found = state.find(task)
+    if found is not None:
+        state.note_begun(state.jobs[found[0].id.job_id])
+
+
 def _take_superseded_done(state: FleetState, ended: EndedTask, now_s: float) -> None:
     """Take a task as done whose earlier attempt has ended so.
 
@@ -290,6 +298,7 @@
 
 
 def _take_running(state, worker, running: RunningTask, now_s: float) -> None:
+    _note_begun(state, running.task)
     found = state.find_task(running.task, running.attempt)
     if found is None or found[1].worker != worker.name:
         if not _has_just_ended(state, running):
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -53,6 +53,7 @@
     PhaseProgress,
     get_block_number,
     may_use_blocks,
+    shows_run,
 )
 from larkhoist.jobs.registry import StagedJobEntry
 from larkhoist.scheduling.quarantine import Quarantine
@@ -138,6 +139,9 @@
                 since_ms = find_wait_start_ms(job, phase.id, entry.phases)
                 self._restore_wait_start(phase, since_ms, now_s, now_ms)
         self.jobs[job.job_id] = active
+        if any(shows_run(task) for p in entry.phases.values() for task in p.tasks):
+            # The progress may have reached the log without the record.
+            self.note_begun(active)
         self.changed = True
         return active
 
@@ -286,9 +290,6 @@
             )
         self._restart_wait(phase, now_s)
         self.mark_dirty(phase, chosen)
-        if not active.begun:
-            active.begun = True
-            self.round.records.append(JobBegun(phase.id.job_id))
         self.note(
             "start-decided",
             job=phase.id.job_id,
@@ -455,6 +456,17 @@
             # Otherwise the next owner could not tell whether the start was carried out.
             self._add_changed(phase, [task])
         task.note_running()
+        self.note_begun(self.jobs[phase.id.job_id])
+
+    def note_begun(self, active: ActiveJob) -> None:
+        """Record that a worker has begun a task of a job, unless it has ended.
+
+        An order to start is no proof: it may be refused, never sent or not answered.
+        """
+        if active.begun or active.ended:
+            return
+        active.begun = True
+        self.round.records.append(JobBegun(active.job.job_id))
 
     def release_plan(self, phase: Phase) -> None:
         """Release the room that is held for a phase."""
--- a/src/larkhoist/jobs/records.py
+++ b/src/larkhoist/jobs/records.py
@@ -49,6 +49,7 @@
     "make_phase_drop",
     "make_speeds_records",
     "may_use_blocks",
+    "shows_run",
 ]
 
 JOB_STREAM = "jobs"
@@ -83,7 +84,7 @@
 
 
 class JobBegun(msgspec.Struct, frozen=True, tag="b"):
-    """Record that a start was ordered for at least one task of the job."""
+    """Record that a worker has begun at least one task of the job."""
 
     job_id: str
 
@@ -356,6 +357,11 @@
     return max(0, min(BLOCK_TASKS, count - get_first_task(number)))
 
 
+def shows_run(task: TaskProgress) -> bool:
+    """Tell whether the progress of a task shows that a worker has begun it."""
+    return bool(task.done or task.seen or task.failures or task.checkpoint)
+
+
 def decode_job_record(value: bytes) -> JobRecord:
     """Return the record in ``value``; raises ``msgspec.DecodeError``."""
     return _decoder.decode(value)
--- a/tests/fleet/checks.py
+++ b/tests/fleet/checks.py
@@ -8,6 +8,7 @@
 from tests.fleet.sim_worker import STOP_S, Run
 
 __all__ = [
+    "check_begun",
     "check_given_up",
     "check_history",
     "check_listed_ends",
@@ -213,6 +214,13 @@
     assert len(later) < 3, f"{task} started {len(later)} times after three crashes"
 
 
+def check_begun(machine: FleetMachine) -> None:
+    """Raise ``AssertionError`` if a job counts as begun that no worker has begun."""
+    begun = {run.task.split(".")[0] for run in machine.world.history}
+    for job_id, entry in machine.registry.entries.items():
+        assert not entry.begun or job_id in begun, f"{job_id} has not begun"
+
+
 def check_given_up(machine: FleetMachine) -> None:
     """Raise ``AssertionError`` if a job failed without enough failures or crashes."""
     failed: Counter[str] = Counter()
--- a/tests/fleet/test_block_records.py
+++ b/tests/fleet/test_block_records.py
@@ -155,7 +155,8 @@
     job = make_job(1, msgspec.structs.replace(WIDE, gang=True))
     whole = make_whole(TaskProgress(1, "w1", address="a:1"))
     decided, _ = take_end(job, 33, EndKind.FAILED, whole)
-    (written,) = decided.records
+    written, begun = decided.records
+    assert begun == JobBegun(job.job_id)
     assert (written.number, written.failed_attempt) == (2, 1)
     _, failures = take_end(job, 3, EndKind.FAILED, whole, written)
     assert failures == {1}
--- a/tests/fleet/test_interleavings.py
+++ b/tests/fleet/test_interleavings.py
@@ -8,6 +8,7 @@
 from larkhoist.jobs.spec import StagedJob, StepSpec
 from tests.fleet.cases import make_job, make_machine
 from tests.fleet.checks import (
+    check_begun,
     check_given_up,
     check_history,
     check_outcomes,
@@ -64,6 +65,7 @@
         injector.step()
         machine.step()
         check_running(machine)
+        check_begun(machine)
     injector.end()
     for job in waiting:
         machine.submit(job)
