Send no start to a worker that has announced that it leaves

What callers saw: tasks began on a worker up to 2.6 s after the store had taken its announcement, and were lost with it (drain-starts, rule DRAIN).

Cause: is_wanted is asked before each try of a start and for starts that waited for the log, but looked only at the task's state and the cordon of the hall.

Change: a start is not wanted on a leaving worker.

All tests of tests/fleet, tests/lab and tests/control pass.

--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -275,12 +275,14 @@
     def is_wanted(self, task: str, attempt: int) -> bool:
         """Tell whether a start that was decided earlier is still to be sent.
 
-        While a start waits for the log or its worker, its data hall may be cordoned.
+        While a start waits for the log or its worker, the worker may announce that it
+        leaves, or its data hall may be cordoned.
         """
         found = self.state.find_task(task, attempt)
         if found is None or found[1].state is not TaskState.STARTING:
             return False
-        return not self.state.is_cordoned(self.state.workers[found[1].worker])
+        worker = self.state.workers[found[1].worker]
+        return not (worker.leaving or self.state.is_cordoned(worker))
 
     def is_busy(self, worker: str) -> bool:
         """Tell whether tasks, including strays, may run on a worker."""
