Refuse start orders from the moment in which an owner closes

What was seen: the test that an owner that closes sends none of the orders that wait failed in one of five whole test runs, by one start (start-limit-close).

Cause: the sessions of an owner are closed by tasks that begin in a later turn of the event loop. Orders that were granted their turn before are sent in the turns between, and also while the owner's own task is being cancelled. So the test was right, and the owner sent a start after its close had begun.

Change: FleetOwner.close has its sessions refuse starts first, without a turn of the loop in between.

Evidence: the new test lets granted orders and the close meet in one turn; it failed with 26 starts for 0, for an owner with and without a task. The old test is unchanged.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -177,6 +177,8 @@
 
     async def close(self) -> None:
         """Stop scheduling; running tasks continue until their leases end."""
+        for session in self._sessions.values():
+            session.refuse_starts()
         await cancel_tasks([self._task, *self._background_tasks])
         # One after another, the end of one session's orders would let others be sent.
         await asyncio.gather(*(s.close() for s in self._sessions.values()))
--- a/src/larkhoist/control/worker_session.py
+++ b/src/larkhoist/control/worker_session.py
@@ -194,6 +194,7 @@
         self._grant_start = grant_start
         self._send_message = send_message
         self._busy = True
+        self._refuses_starts = False
         self._silent = False
         self._has_answered = False
         self._has_unanswered_call = False
@@ -215,6 +216,10 @@
         """Cancel all calls to the worker."""
         await cancel_tasks([self._task, *self._background_tasks])
 
+    def refuse_starts(self) -> None:
+        """Drop the start orders that wait, and all later ones."""
+        self._refuses_starts = True
+
     def set_busy(self, busy: bool) -> None:
         """Set whether tasks may run on the worker, so that its lease is renewed."""
         self._busy = busy
@@ -508,6 +513,8 @@
         All tries use the same ``token``, so that none can act in a later incarnation
         after a report of it has shown that the attempt is absent.
         """
+        if self._refuses_starts:
+            return None
         if self._incarnation.is_other(order.started_ms):
             # A later owner would look for the attempt only in the former incarnation.
             return None
--- a/tests/control/test_start_limit.py
+++ b/tests/control/test_start_limit.py
@@ -197,13 +197,9 @@
         pass
 
 
-async def test_an_owner_that_closes_sends_none_of_the_orders_that_wait():
-    # The next owner would find tasks that started after it had read the progress.
-    arrivals = []
-    workers, sessions = make_sessions(50, make_limits(), arrivals)
-    order_starts(sessions, [f"job.0.0.{index}" for index in range(494)])
-    await wait_until(lambda: arrivals)
-    owner = SimpleNamespace(
+def make_owner(sessions: list[WorkerSession]) -> SimpleNamespace:
+    """Return what ``FleetOwner.close`` uses of an owner."""
+    return SimpleNamespace(
         term=1,
         _task=None,
         _background_tasks=set(),
@@ -213,6 +209,15 @@
         _roster_follower=Component(),
         _lag_monitor=Component(),
     )
+
+
+async def test_an_owner_that_closes_sends_none_of_the_orders_that_wait():
+    # The next owner would find tasks that started after it had read the progress.
+    arrivals = []
+    workers, sessions = make_sessions(50, make_limits(), arrivals)
+    order_starts(sessions, [f"job.0.0.{index}" for index in range(494)])
+    await wait_until(lambda: arrivals)
+    owner = make_owner(sessions)
     sent_count = sum(worker.start_count for worker in workers)
     async with asyncio.timeout(5):
         await FleetOwner.close(owner)
@@ -220,6 +225,20 @@
     assert sum(worker.start_count for worker in workers) == sent_count
 
 
+@pytest.mark.parametrize("has_task", [False, True], ids=["idle", "deciding"])
+async def test_an_owner_that_closes_sends_no_order_before_its_sessions_close(has_task):
+    # Guards against orders that go out in the turns of the loop in between.
+    workers, sessions = make_sessions(50, make_limits(), [])
+    order_starts(sessions, [f"job.0.0.{index}" for index in range(494)])
+    owner = make_owner(sessions)
+    if has_task:
+        owner._task = asyncio.create_task(asyncio.sleep(60))
+    async with asyncio.timeout(5):
+        await FleetOwner.close(owner)
+    await asyncio.sleep(0.1)
+    assert not sum(worker.start_count for worker in workers)
+
+
 @pytest.mark.parametrize(("mbps", "count"), [(0.1, MIN_ORDERS), (5.0, 31)])
 async def test_the_limit_follows_the_bandwidth(mbps, count):
     limit = create_start_limit(mbps)
