--- a/review/8/check.py
+++ b/review/8/check.py
@@ -1,78 +1,63 @@
-"""Hand in periodic jobs that run for a day, and see whether others still start."""
+"""Use a public queue with an unknown key to read and cancel a tenant's private job."""
 
 import asyncio
-import time
 from pathlib import Path
 
-from case import SMALL_NEED, Canaries, NotRunnableError, make_job_id, run_case
-from cluster import KEYS, Cluster
+from case import SMALL_NEED, NotRunnableError, make_job_id, run_case
+from cluster import KEYS, PREFIXES, PUBLIC_PREFIX, Cluster
 from runner import Work
 
 FOLDER = Path(__file__).resolve().parent
-JOBS = 4
-"""Two for each tenant."""
-INTERVAL_MS = 2000
-TIMES = 43_200
-"""A day at one time each 2 s."""
-FEW_TIMES = 8
-WATCH_S = 35.0
-FINISH_S = 14.0
+UNKNOWN_KEY = "key-that-no-configuration-held"
+WORK_S = 25.0
 
 
 async def check(cluster: Cluster, trouble: bool) -> list[str]:
-    """Return how many small jobs never started, if any."""
-    canaries = Canaries(cluster)
-    for _ in range(3):
-        await canaries.submit()
-        await asyncio.sleep(1.0)
-    if len(canaries.accepted) < 3 or canaries.list_unserved():
-        raise NotRunnableError("the deployment did not serve small jobs")
-    times = TIMES if trouble else FEW_TIMES
-    await asyncio.gather(
-        *(_submit_periodic(cluster, number, times) for number in range(JOBS))
+    """Return what a caller with an unknown key could do to a private job."""
+    job_id = make_job_id()
+    step = {"count": 2, **SMALL_NEED, "estimate_ms": int(WORK_S * 1000)}
+    answer = await cluster.submit(
+        job_id,
+        [Work(SMALL_NEED, WORK_S)],
+        {"spec": "private", "steps": [step]},
+        priority=1,
+        key=KEYS["tenant-a"],
+    )
+    if answer.status != 200:
+        raise NotRunnableError(f"the job was answered {answer.status}")
+    await asyncio.sleep(5.0)
+    if len(cluster.starts) < 2:
+        raise NotRunnableError("the job did not start")
+    prefix = PUBLIC_PREFIX if trouble else PREFIXES[1]
+    read = await cluster.call("GET", prefix + job_id, key=UNKNOWN_KEY, instance=1)
+    cancelled = await cluster.call(
+        "DELETE", prefix + job_id, key=UNKNOWN_KEY, instance=2
     )
-    began_s = cluster.get_now_s()
-    later = Canaries(cluster)
-    await later.submit_until(began_s + WATCH_S, 2.0)
-    await asyncio.sleep(FINISH_S)
-    unserved = later.list_unserved()
-    running = sum(len(runner.list_running()) for runner in cluster.runners)
-    shown = {}
-    for job_id in unserved[:2]:
-        state = await cluster.get_state(job_id, priority=1, key=KEYS["tenant-a"])
-        shown[job_id] = state
+    await asyncio.sleep(5.0)
+    shown = await cluster.get_state(job_id, priority=1, key=KEYS["tenant-a"])
+    stopped = [how for each in cluster.ends.values() for _, how in each]
     cluster.note(
         "result",
-        accepted=len(later.accepted),
-        unserved=len(unserved),
-        running_at_end=running,
-        shown=shown,
+        read=read.status,
+        read_body=read.body,
+        cancelled=cancelled.status,
+        shown_to_owner=shown,
+        ends=stopped,
     )
-    print(f"{len(later.accepted)} accepted, {len(unserved)} not started in time")
-    if not unserved:
-        return []
-    return [
-        f"LOST: {len(unserved)} of {len(later.accepted)} accepted jobs did not start "
-        f"within 7 s while {running} tasks ran on {len(cluster.runners)} runners; "
-        f"shown at the end: {shown}"
-    ]
-
-
-async def _submit_periodic(cluster: Cluster, number: int, times: int) -> None:
-    keys = list(KEYS.values())
-    body = {
-        "spec": "periodic",
-        "steps": [{"count": 1, **SMALL_NEED, "estimate_ms": 200}],
-        "times": times,
-        "start_at_ms": int(time.time() * 1000) + 1000,
-        "interval_ms": INTERVAL_MS,
-    }
-    works = [Work(SMALL_NEED, 0.2)]
-    answer = await cluster.submit(
-        make_job_id(), works, body, priority=2, key=keys[number % len(keys)]
+    print(
+        f"unknown key: GET {read.status} {read.body}, DELETE {cancelled.status}; "
+        f"the job is shown as {shown}, ends {stopped}"
     )
-    if answer.status != 200:
-        raise NotRunnableError(f"a periodic job was answered {answer.status}")
-
-
-run_case(check, FOLDER, instances=3, runners=8)
+    broken = []
+    if read.status == 200:
+        broken.append(f"ROUTE: a GET with a key never held was answered {read.body}")
+    if cancelled.status == 200:
+        broken.append("ROUTE: a DELETE with a key never held was answered 200")
+    if shown == "canceled":
+        broken.append(
+            "LOST: the job is shown as canceled, its tenant cancelled nothing"
+        )
+    return broken
+
+
+run_case(check, FOLDER, instances=3, runners=4)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # They are plain Python and use the libraries in target/deps.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-for file in review/standins2/*.py review/[4-8]/*.py; do
+for file in review/standins[23]/*.py review/[4-8]/*.py review/{checkpoints,late-cancel}/*.py; do
     [ -e "$file" ] || continue
     python3 -c 'import sys; compile(open(sys.argv[1]).read(), sys.argv[1], "exec")' "$file"
 done
