--- a/review/7/check.py
+++ b/review/7/check.py
@@ -1,6 +1,7 @@
 """Fill all accelerators with lasting tasks, then claim a guaranteed share."""
 
 import asyncio
+import os
 from pathlib import Path
 
 from case import NotRunnableError, make_job_id, run_case
@@ -8,6 +9,7 @@
 from runner import CAPACITY, Work
 
 FOLDER = Path(__file__).resolve().parent
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 RUNNERS = 8
 LENT_NEED = {"cpu": 2800, "mem_mb": 11000, "gpu": 1}
 CLAIMED_NEED = {"cpu": 3700, "mem_mb": 11000, "gpu": 4}
@@ -78,4 +80,4 @@
     ]
 
 
-run_case(check, FOLDER, instances=3, runners=RUNNERS)
+run_case(check, FOLDER, TROUBLE, instances=3, runners=RUNNERS)
--- a/review/8/check.py
+++ b/review/8/check.py
@@ -1,6 +1,7 @@
 """Use a public queue with an unknown key to read and cancel a tenant's private job."""
 
 import asyncio
+import os
 from pathlib import Path
 
 from case import SMALL_NEED, NotRunnableError, make_job_id, run_case
@@ -8,6 +9,7 @@
 from runner import Work
 
 FOLDER = Path(__file__).resolve().parent
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 UNKNOWN_KEY = "key-that-no-configuration-held"
 WORK_S = 25.0
 
@@ -60,4 +62,4 @@
     return broken
 
 
-run_case(check, FOLDER, instances=3, runners=4)
+run_case(check, FOLDER, TROUBLE, instances=3, runners=4)
--- a/review/checkpoints/check.py
+++ b/review/checkpoints/check.py
@@ -1,6 +1,7 @@
 """Let tasks write longer checkpoints and see whether a lasting one starts again."""
 
 import asyncio
+import os
 from pathlib import Path
 
 from case import Canaries, NotRunnableError, make_job_id, run_case
@@ -8,6 +9,7 @@
 from runner import Work
 
 FOLDER = Path(__file__).resolve().parent
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 TASKS = 94
 """The widest step of the deployment's sheet."""
 CHECKPOINT_BYTES = 3000
@@ -77,4 +79,4 @@
     return broken
 
 
-run_case(check, FOLDER, instances=3, runners=8)
+run_case(check, FOLDER, TROUBLE, instances=3, runners=8)
--- a/review/standins3/case.py
+++ b/review/standins3/case.py
@@ -1,7 +1,6 @@
 """Run one case against a small deployment and turn its result into an exit code."""
 
 import asyncio
-import os
 import signal
 import sys
 import traceback
@@ -84,9 +83,11 @@
     return uuid.uuid4().hex[:16]
 
 
-def run_case(check: Check, folder: Path, **cluster_settings) -> None:
-    """Start the deployment, run the check, end everything and exit with the code."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+def run_case(check: Check, folder: Path, trouble: bool, **cluster_settings) -> None:
+    """Start the deployment, run the check, end everything and exit with the code.
+
+    Without ``trouble`` the check leaves the disruption out.
+    """
     code = asyncio.run(_run(check, folder, trouble, cluster_settings))
     sys.exit(code)
 
