Rank a job's steps once and decide in parts

Cause: the rank of one step walked three times through all steps of its job, so that a pass took a time that grows with the square of the steps. A pass runs in one turn of the event loop, in which the tenure is not renewed, and others claim it after 1.1 s.

Change: CriticalPaths computes the paths of a run once in a pass, the declared paths are kept with the job, and a phase does not visit done tasks again. A decision and the load of a take-over are made in parts of a bounded number of phases, with the owner's usual pause after each. Records and drops that arrive meanwhile wait for the next step.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -7,7 +7,7 @@
 import logging
 import time
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from returns.result import Failure, Success
 
@@ -64,7 +64,8 @@
 MAX_PAUSE_S = 0.25
 """Longest pause between two steps, so that leases and stops are checked regularly."""
 PAUSE_RATIO = 1.5
-"""Pause after a step, as a multiple of the duration of the step."""
+"""Pause after a part of a step, as a multiple of the duration of the part."""
+_END = object()
 MAX_APPEND_DELAY_S = 1.0
 """No new decisions are made while records have waited longer for the log."""
 TAKEOVER_TIMEOUT_S = 2.0
@@ -163,6 +164,8 @@
             limits.loop_lag, self._call_times.note_own_delay
         )
         self._messages: list[Message] = []
+        self._records: list[JobAccepted | JobCancelRequested] = []
+        self._must_add_open_jobs = False
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
         self._background_tasks: set[asyncio.Task] = set()
@@ -189,33 +192,41 @@
         log_event(_logger, "owner-stopped", term=self.term)
 
     def apply_record(self, record: JobRecord) -> None:
-        """Pass a record that the registry has just applied on to the scheduler."""
-        if self.scheduler is None:
-            return
-        now_s, now_ms = _get_times()
-        match record:
-            case JobAccepted(job):
-                entry = self._registry.get(job.job_id)
-                if entry is not None and entry.outcome is None:
-                    self.scheduler.add_job(entry, now_s, now_ms)
-            case JobCancelRequested(job_id):
-                self.scheduler.cancel_job(job_id, now_s, now_ms)
-            case _:
-                return
-        self._wake.set()
+        """Pass a record that the registry has just applied on to the next step."""
+        if isinstance(record, JobAccepted | JobCancelRequested):
+            self._records.append(record)
+            self._wake.set()
 
     def add_open_jobs(self) -> None:
-        """Pass all open jobs and cancellations on after the registry was replaced."""
-        if self.scheduler is None:
-            return
-        now_s, now_ms = _get_times()
+        """Have the next step add all open jobs, since the registry was replaced."""
+        self._must_add_open_jobs = True
+        self._wake.set()
+
+    def _apply_records(self, now_s: float, now_ms: int) -> None:
+        """Pass accepted jobs and cancellations on that were read since the last step.
+
+        They must not change the scheduler's state while a decision is in progress.
+        """
+        records, self._records = self._records, []
+        for record in records:
+            match record:
+                case JobAccepted(job):
+                    entry = self._registry.get(job.job_id)
+                    if entry is not None and entry.outcome is None:
+                        self.scheduler.add_job(entry, now_s, now_ms)
+                case JobCancelRequested(job_id):
+                    self.scheduler.cancel_job(job_id, now_s, now_ms)
+        if self._must_add_open_jobs:
+            self._must_add_open_jobs = False
+            self._add_open_jobs(now_s, now_ms)
+
+    def _add_open_jobs(self, now_s: float, now_ms: int) -> None:
         for entry in self._registry.entries.values():
             if entry.job is None or entry.outcome is not None:
                 continue
             self.scheduler.add_job(entry, now_s, now_ms)
             if entry.cancelled:
                 self.scheduler.cancel_job(entry.job.job_id, now_s, now_ms)
-        self._wake.set()
 
     @property
     def has_taken_over(self) -> bool:
@@ -316,14 +327,10 @@
             if self._writer.fenced or self._progress_writer.fenced:
                 self._tenure.give_up("a writer was fenced by a newer term")
                 return
-            began_s, _ = _get_times()
-            self._step()
+            # Messages that arrive during a pause are handled in one step.
+            await _run_in_parts(self._step())
             if self.scheduler.has_more:
                 self._wake.set()
-            took_s = _get_times()[0] - began_s
-            # Messages that arrive during the pause are handled in one step, which
-            # leaves most of the processor to API calls and worker sessions.
-            await asyncio.sleep(PAUSE_RATIO * took_s)
 
     def _get_pause_s(self) -> float:
         if self._decisions_paused:
@@ -357,7 +364,9 @@
         scheduler = create_fleet_scheduler(self._policy, now_s)
         scheduler.update_workers(self._roster.list_entries(), now_s)
         left_over = self._registry.replace_progress(progress)
-        scheduler.load_jobs(self._registry, now_s, now_ms)
+        await _run_in_parts(scheduler.load(self._registry, now_s, now_ms))
+        # The registry may have changed between the parts.
+        self._must_add_open_jobs = True
         self.scheduler = scheduler
         log_event(
             _logger,
@@ -408,9 +417,11 @@
 
     # One step.
 
-    def _step(self) -> None:
+    def _step(self) -> Iterator[None]:
+        """Handle what has arrived, decide and carry the decision out, in parts."""
         now_s, now_ms = _get_times()
         scheduler = self.scheduler
+        self._apply_records(now_s, now_ms)
         if self._roster_version != self._roster.version:
             self._roster_version = self._roster.version
             scheduler.update_workers(self._roster.list_entries(), now_s)
@@ -423,7 +434,8 @@
         if self._update_decisions_paused(now_s):
             return
         self._expire_jobs(now_s, now_ms)
-        self._carry_out(scheduler.decide(now_s, now_ms))
+        yield from scheduler.advance(now_s, now_ms)
+        self._carry_out(scheduler.take_round(now_s, now_ms))
         self._update_sessions()
 
     def _update_decisions_paused(self, now_s: float) -> bool:
@@ -614,12 +626,11 @@
                 self._sessions[name].renew()
 
     def _send_start(self, order: StartTask) -> None:
-        now_s, _ = _get_times()
         session = self._sessions.get(order.worker)
         wanted = self.scheduler.is_wanted(order.task, order.attempt)
         if session is None or not wanted:
-            self.scheduler.note_never_sent(order.task, order.attempt, now_s)
-            self._wake.set()
+            dropped = StartDropped(order.worker, order.task, order.attempt)
+            self._enqueue_message(dropped)
             return
         session.set_busy(True)
         session.order_start(order)
@@ -630,5 +641,18 @@
         task.add_done_callback(self._background_tasks.discard)
 
 
+async def _run_in_parts(parts: Iterator[None]) -> None:
+    """Run all parts with a pause after each.
+
+    This leaves most of the processor to API calls, worker sessions and the renewal of
+    the tenure, however much there is to do.
+    """
+    is_last = False
+    while not is_last:
+        began_s, _ = _get_times()
+        is_last = next(parts, _END) is _END
+        await asyncio.sleep(PAUSE_RATIO * (_get_times()[0] - began_s))
+
+
 def _get_times() -> tuple[float, int]:
     return read_monotonic_s(), int(time.time() * 1000)
--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -1,12 +1,13 @@
 """Place waiting phases on workers, in the order of their ranks."""
 
 import math
+from collections.abc import Generator, Iterator
 
 import msgspec
 
 from larkhoist.fleet.eligibility import Eligibility
 from larkhoist.fleet.leeway import Leeway, count_together
-from larkhoist.fleet.ranking import Rank, Tier, rank_phase
+from larkhoist.fleet.ranking import CriticalPaths, Rank, Tier, rank_phase
 from larkhoist.fleet.room import (
     count_room_without_checkpoints,
     count_urgent,
@@ -24,6 +25,10 @@
 
 __all__ = ["place_waiting"]
 
+PHASES_RANKED_PER_PART = 1000
+PHASES_PLACED_PER_PART = 100
+"""How many phases are visited before the caller may do other work. The placement of one
+takes up to some 0.2 ms, without a search for victims."""
 SPEED_CLASS_LOG_WIDTH = math.log(1.2)
 """Width of a speed class, as the logarithm of a ratio of run times: workers that differ
 by less than about 20 % count as equally fast."""
@@ -80,10 +85,14 @@
         self.notes = WaitNotes(state, used_share, now_s)
         self.mostly_idle = used_share < state.policy.idle_share
         self.uneven = state.speeds.is_uneven
+        self.paths = CriticalPaths(state.runtimes)
 
-    def run(self) -> None:
+    def run(self) -> Iterator[None]:
+        """Rank and place the phases; yield where the caller may do other work."""
         waiting = []
-        for active, phase in self.state.iter_phases():
+        for number, (active, phase) in enumerate(self.state.iter_phases(), 1):
+            if number % PHASES_RANKED_PER_PART == 0:
+                yield
             if active.ended or not active.is_ready(phase, self.now_s):
                 continue
             if phase.plan or phase.get_waiting():
@@ -94,12 +103,14 @@
             {worker.name for worker in self.usable},
         )
         self.state.reservations.drop_too_small(self.state)
-        for one in waiting:
+        for number, one in enumerate(waiting, 1):
             self._place(one.rank, one.active, one.phase)
+            if number % PHASES_PLACED_PER_PART == 0:
+                yield
 
     def _rank(self, active: ActiveJob, phase: Phase) -> Rank:
         state = self.state
-        return rank_phase(active, phase, state.runtimes, state.policy, self.now_s)
+        return rank_phase(active, phase, self.paths, state.policy, self.now_s)
 
     def _place(self, rank: Rank, active: ActiveJob, phase: Phase) -> None:
         tier = rank.tier
@@ -502,14 +513,17 @@
                 other.closing = True
 
 
-def place_waiting(state: FleetState, guarantees: dict[str, int], now_s: float) -> bool:
+def place_waiting(
+    state: FleetState, guarantees: dict[str, int], now_s: float
+) -> Generator[None, None, bool]:
     """Start the phases that find room, and stop others to make room for urgent ones.
 
+    Yields after a bounded number of phases; the state must not change in between.
     Returns whether phases still have to search for victims. The next pass may follow at
     once.
     """
     one = _Pass(state, guarantees, now_s)
-    one.run()
+    yield from one.run()
     return one.unfinished
 
 
--- a/src/larkhoist/fleet/ranking.py
+++ b/src/larkhoist/fleet/ranking.py
@@ -1,5 +1,6 @@
 """Rank the phases that could start by urgency and deadline."""
 
+from collections.abc import Callable
 from enum import IntEnum
 
 import msgspec
@@ -8,8 +9,9 @@
 from larkhoist.fleet.runtimes import QueueRuntimes
 from larkhoist.fleet.task import ActiveJob, Phase
 from larkhoist.jobs.records import PhaseId
+from larkhoist.jobs.spec import JobTerms
 
-__all__ = ["Rank", "Tier", "get_critical_path_s", "get_deadline_s", "rank_phase"]
+__all__ = ["CriticalPaths", "Rank", "Tier", "get_objective_s", "rank_phase"]
 
 
 class Tier(IntEnum):
@@ -43,32 +45,60 @@
     phase: PhaseId
 
 
-def get_critical_path_s(job: ActiveJob, run: int, runtimes: QueueRuntimes) -> float:
-    """Return the expected time of the critical path through a run's steps."""
-    return _get_critical_path_s(job, run, runtimes, lambda phase: False)
+class CriticalPaths:
+    """The expected times of the critical paths of runs, computed once each.
 
+    Valid while no task ends and no run time is learnt, as within one pass. A path
+    visits all steps of its run, so that a path for each step would take a time that
+    grows with the square of their number.
+    """
 
-def get_deadline_s(
-    job: ActiveJob, phase: Phase, runtimes: QueueRuntimes
-) -> tuple[float, float]:
-    """Return the deadline of the phase's run, and its latency objective."""
-    terms = job.job.terms
-    critical_path_s = get_critical_path_s(job, phase.id.run, runtimes)
-    objective_s = terms.stretch * critical_path_s + terms.target_ms / 1000
-    return phase.due_s + objective_s, objective_s
+    def __init__(self, runtimes: QueueRuntimes):
+        self._runtimes = runtimes
+        self._whole_s: dict[tuple[str, int], float] = {}
+        self._remaining_s: dict[tuple[str, int], float] = {}
+
+    def get_whole_s(self, job: ActiveJob, run: int) -> float:
+        """Return the expected time of a run, in seconds."""
+        key = (job.job.job_id, run)
+        found = self._whole_s.get(key)
+        if found is None:
+            found = self._whole_s[key] = self._compute_s(job, run, is_over=_is_never)
+        return found
+
+    def get_remaining_s(self, job: ActiveJob, run: int) -> float:
+        """Return the expected time of the steps of a run that are not done."""
+        key = (job.job.job_id, run)
+        found = self._remaining_s.get(key)
+        if found is None:
+            found = self._compute_s(job, run, is_over=_is_done)
+            self._remaining_s[key] = found
+        return found
+
+    def _compute_s(
+        self, job: ActiveJob, run: int, is_over: Callable[[Phase], bool]
+    ) -> float:
+        ends_s: list[float] = []
+        for phase in job.get_phases(run):
+            begin_s = max((ends_s[step] for step in phase.spec.depends_on), default=0.0)
+            own_s = 0.0
+            if not is_over(phase):
+                own_s = self._runtimes.predict(job.job.queue, phase.spec.estimate_ms)
+            ends_s.append(begin_s + own_s)
+        return max(ends_s, default=0.0)
 
 
 def rank_phase(
     job: ActiveJob,
     phase: Phase,
-    runtimes: QueueRuntimes,
+    paths: CriticalPaths,
     policy: FleetPolicy,
     now_s: float,
 ) -> Rank:
     """Return the rank of a waiting phase."""
-    deadline_s, objective_s = get_deadline_s(job, phase, runtimes)
-    remaining_s = _get_critical_path_s(job, phase.id.run, runtimes, lambda p: p.is_done)
-    latest_s = deadline_s - remaining_s
+    run = phase.id.run
+    objective_s = get_objective_s(job.job.terms, paths.get_whole_s(job, run))
+    latest_s = phase.due_s + objective_s - paths.get_remaining_s(job, run)
     if job.firm:
         return Rank(Tier.FIRM, phase.due_s, phase.id)
     if now_s <= latest_s:
@@ -79,12 +109,14 @@
     return Rank(Tier.HOPELESS, phase.due_s, phase.id)
 
 
-def _get_critical_path_s(job, run, runtimes, is_over) -> float:
-    ends: list[float] = []
-    for phase in job.get_phases(run):
-        begin_s = max((ends[step] for step in phase.spec.depends_on), default=0.0)
-        own_s = 0.0
-        if not is_over(phase):
-            own_s = runtimes.predict(job.job.queue, phase.spec.estimate_ms)
-        ends.append(begin_s + own_s)
-    return max(ends, default=0.0)
+def get_objective_s(terms: JobTerms, critical_path_s: float) -> float:
+    """Return the latency objective of a run with this critical path, in seconds."""
+    return terms.stretch * critical_path_s + terms.target_ms / 1000
+
+
+def _is_never(phase: Phase) -> bool:
+    return False
+
+
+def _is_done(phase: Phase) -> bool:
+    return phase.is_done
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -5,7 +5,7 @@
 send.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from larkhoist.codes import Code
 from larkhoist.fleet.crashes import has_given_up_task
@@ -41,6 +41,7 @@
 
 PLACEMENT_INTERVAL_S = 0.5
 """How often placement of waiting tasks is tried again while nothing changes."""
+JOBS_LOADED_PER_PART = 500
 
 
 class FleetScheduler:
@@ -132,10 +133,19 @@
 
         Also apply the leases and the speeds that a former owner recorded.
         """
-        for entry in registry.entries.values():
-            if entry.job is None:
-                continue
-            self.add_job(entry, now_s, now_ms)
+        for _ in self.load(registry, now_s, now_ms):
+            pass
+
+    def load(self, registry: JobRegistry, now_s: float, now_ms: int) -> Iterator[None]:
+        """Do the same in parts of bounded length, and yield between them.
+
+        Jobs that the registry gets meanwhile are left out.
+        """
+        for number, entry in enumerate(list(registry.entries.values()), 1):
+            if number % JOBS_LOADED_PER_PART == 0:
+                yield
+            if entry.job is not None:
+                self.add_job(entry, now_s, now_ms)
         for worker in self.state.workers.values():
             if worker.listed:
                 # It may have come up in place of one that a former owner lost.
@@ -293,6 +303,16 @@
 
     def decide(self, now_s: float, now_ms: int) -> Round:
         """Advance the state; return the records to append and the calls to send."""
+        for _ in self.advance(now_s, now_ms):
+            pass
+        return self.take_round(now_s, now_ms)
+
+    def advance(self, now_s: float, now_ms: int) -> Iterator[None]:
+        """Advance the state in parts of bounded length, and yield between them.
+
+        Until the last part, only leases may be granted; other input has to wait.
+        ``take_round`` then returns the effects.
+        """
         state = self.state
         self._check_leases(now_s)
         state.settle_overdue(now_s)
@@ -305,8 +325,11 @@
             self._next_placement_s = now_s + PLACEMENT_INTERVAL_S
             mark_firm(state.jobs.values(), self._guarantees)
             state.changed = False
-            self._has_more = place_waiting(state, self._guarantees, now_s)
-        return state.take_round(now_s, now_ms)
+            self._has_more = yield from place_waiting(state, self._guarantees, now_s)
+
+    def take_round(self, now_s: float, now_ms: int) -> Round:
+        """Return the effects of a decision that has ended; both times are its time."""
+        return self.state.take_round(now_s, now_ms)
 
     @property
     def has_more(self) -> bool:
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -23,6 +23,7 @@
 
 __all__ = [
     "ActiveJob",
+    "DeclaredPaths",
     "Phase",
     "Task",
     "TaskState",
@@ -136,7 +137,8 @@
     a start is refused or never carried out, it is set back to
     ``previous_unserved_since_s``. Once all tasks are done, it is the time when the last
     one ended. ``known_since_s`` is when this owner added the phase. ``blocks`` numbers
-    the blocks of its progress that may be on the log.
+    the blocks of its progress that may be on the log. The first ``done_before`` tasks
+    are known to be done.
     """
 
     id: PhaseId
@@ -156,6 +158,7 @@
     blocks: set[int] = field(default_factory=set)
     size: StepSize | None = None
     size_attempt: int = 0
+    done_before: int = 0
     need: Resources = field(init=False)
 
     def __post_init__(self):
@@ -163,8 +166,16 @@
 
     @property
     def is_done(self) -> bool:
-        """Tell whether every task is done."""
-        return all(task.state is TaskState.DONE for task in self.tasks)
+        """Tell whether every task is done.
+
+        A task that is done stays so, so the tasks counted in ``done_before`` are not
+        visited again: many steps may depend on this one.
+        """
+        tasks, count = self.tasks, self.done_before
+        while count < len(tasks) and tasks[count].state is TaskState.DONE:
+            count += 1
+        self.done_before = count
+        return count == len(tasks)
 
     @property
     def is_off_workers(self) -> bool:
@@ -264,13 +275,26 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class DeclaredPaths:
+    """The times of a job's paths by the times that its submitter has declared.
+
+    ``whole_s`` is the time of its critical path in seconds, ``rests_s`` that of the
+    longest path through the steps that depend on each step, which is left out.
+    """
+
+    whole_s: float
+    rests_s: tuple[float, ...]
+
+
 @dataclass(slots=True)
 class ActiveJob:
     """Hold one job that has not ended, or whose tasks still have to stop.
 
     ``firm`` is set if the job is covered by its customer's guarantee. ``given_up`` is
     set if too many workers were lost under one of its tasks. ``yielded_to`` is the job
-    of another customer for which its guaranteed tasks were stopped.
+    of another customer for which its guaranteed tasks were stopped. ``declared_paths``
+    is None until it is first needed.
     """
 
     job: StagedJob
@@ -281,6 +305,7 @@
     firm: bool = False
     given_up: bool = False
     yielded_to: str = ""
+    declared_paths: DeclaredPaths | None = None
 
     @property
     def priority(self) -> int:
--- a/src/larkhoist/fleet/timeliness.py
+++ b/src/larkhoist/fleet/timeliness.py
@@ -6,9 +6,10 @@
 
 from collections.abc import Iterable
 
-from larkhoist.fleet.ranking import get_deadline_s
+from larkhoist.fleet.ranking import get_objective_s
 from larkhoist.fleet.runtimes import QueueRuntimes
-from larkhoist.fleet.task import ActiveJob, Phase
+from larkhoist.fleet.task import ActiveJob, DeclaredPaths, Phase
+from larkhoist.jobs.spec import StagedJob
 
 __all__ = ["get_expected_s", "get_latest_start_s", "get_max_factor"]
 
@@ -52,22 +53,29 @@
 
 
 def _get_latest_end_s(active: ActiveJob, phase: Phase) -> float:
-    deadline_s, _ = get_deadline_s(active, phase, DECLARED_TIMES)
-    return deadline_s - _get_rest_s(active, phase)
-
-
-def _get_rest_s(active: ActiveJob, phase: Phase) -> float:
-    """Return the expected time of the longest path through the steps that depend on it.
-
-    A step depends on earlier ones only.
-    """
-    phases = active.get_phases(phase.id.run)
-    rests_s = [0.0] * len(phases)
-    for step in range(len(phases) - 1, phase.id.step, -1):
-        path_s = rests_s[step] + _predict_s(active, phases[step])
-        for earlier in phases[step].spec.depends_on:
+    paths = _get_declared_paths(active)
+    objective_s = get_objective_s(active.job.terms, paths.whole_s)
+    return phase.due_s + objective_s - paths.rests_s[phase.id.step]
+
+
+def _get_declared_paths(active: ActiveJob) -> DeclaredPaths:
+    """Return the paths of a job, which are computed once: declared times are fixed."""
+    if active.declared_paths is None:
+        active.declared_paths = _make_declared_paths(active.job)
+    return active.declared_paths
+
+
+def _make_declared_paths(job: StagedJob) -> DeclaredPaths:
+    """Return the paths of a job, whose steps depend on earlier ones only."""
+    rests_s = [0.0] * len(job.steps)
+    whole_s = 0.0
+    for number in range(len(job.steps) - 1, -1, -1):
+        spec = job.steps[number]
+        path_s = rests_s[number] + DECLARED_TIMES.predict(job.queue, spec.estimate_ms)
+        whole_s = max(whole_s, path_s)
+        for earlier in spec.depends_on:
             rests_s[earlier] = max(rests_s[earlier], path_s)
-    return rests_s[phase.id.step]
+    return DeclaredPaths(whole_s, tuple(rests_s))
 
 
 def _predict_s(active: ActiveJob, phase: Phase) -> float:
