Hold only the runs of a job that are due and not long done

Cause: FleetState.add_job created the phases and tasks of all runs at once, also of those due in many hours, and kept those of done runs until the job ended.

Change: a run is opened when it is due or has progress on the log, with at most 2,000 tasks of a job in open runs. Runs that are done for 10 s are folded, 64 or more at a time, into one record DoneRuns; their progress is removed once it is on the log. A take-over yields by the number of tasks added. A run that falls due is placed at once.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -50,7 +50,7 @@
     JobCancelRequested,
     JobRecord,
     make_expiry_records,
-    make_phase_drop,
+    make_progress_drop,
 )
 from larkhoist.jobs.registry import JobRegistry
 from larkhoist.ports.keyed_log import KeyedLogPort, StoredRecord
@@ -380,7 +380,7 @@
             took_s=round(now_s - began_s, 3),
         )
         if left_over:
-            drops = tuple(make_phase_drop(part) for part in left_over)
+            drops = tuple(make_progress_drop(part) for part in left_over)
             self._spawn(self._progress_writer.commit(drops))
         return True
 
--- a/src/larkhoist/control/round_records.py
+++ b/src/larkhoist/control/round_records.py
@@ -5,12 +5,13 @@
 from larkhoist.fleet.effects import Round, SpeedsNote
 from larkhoist.jobs.records import (
     BlockProgress,
+    DoneRuns,
     PhaseProgress,
     RecordedSpeed,
     encode_job_record,
     make_closing_records,
     make_leases_record,
-    make_phase_drop,
+    make_progress_drop,
     make_speeds_records,
 )
 from larkhoist.ports.keyed_log import KeyedRecord
@@ -25,8 +26,8 @@
     ``jobs`` and ``progress`` are appended concurrently to their streams, and either may
     arrive without the other: the next owner derives a missing outcome from the
     progress, and stops tasks that still run after an outcome. ``dropped`` is appended
-    to the progress stream only once ``jobs`` is on the log, since a job without outcome
-    and progress runs again.
+    to the progress stream only once ``jobs`` and ``progress`` are on the log, since a
+    job without outcome and progress runs again.
     """
 
     jobs: tuple[KeyedRecord, ...]
@@ -36,14 +37,15 @@
 
 def encode_round(decided: Round) -> RoundRecords:
     """Return the records of a round."""
-    jobs, progress, dropped = [], [], []
+    jobs, progress = [], []
+    dropped = [make_progress_drop(part) for part in decided.folded]
     for record in decided.records:
-        is_progress = isinstance(record, PhaseProgress | BlockProgress)
+        is_progress = isinstance(record, PhaseProgress | BlockProgress | DoneRuns)
         stream = progress if is_progress else jobs
         stream.append(encode_job_record(record))
     for ended in decided.ended:
         jobs += make_closing_records(ended.job_id)
-        dropped += [make_phase_drop(part) for part in (*ended.phases, *ended.blocks)]
+        dropped += [make_progress_drop(part) for part in ended.parts]
     if decided.leases is not None:
         progress.append(make_leases_record(decided.leases.remaining_s))
     if decided.speeds is not None:
--- a/src/larkhoist/fleet/effects.py
+++ b/src/larkhoist/fleet/effects.py
@@ -5,7 +5,7 @@
 
 from larkhoist.fleet.silent_leases import LeaseNote
 from larkhoist.fleet.speeds import SpeedFactor
-from larkhoist.jobs.records import BlockId, JobRecord, PhaseId
+from larkhoist.jobs.records import JobRecord, ProgressPart
 
 __all__ = [
     "EndedJob",
@@ -55,12 +55,11 @@
 class EndedJob:
     """Name an ended job of which only the outcome is kept.
 
-    ``blocks`` are the blocks of its progress that may be on the log.
+    ``parts`` is the progress of it that may be on the log.
     """
 
     job_id: str
-    phases: tuple[PhaseId, ...]
-    blocks: tuple[BlockId, ...] = ()
+    parts: tuple[ProgressPart, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,7 +91,8 @@
 
     ``seen`` holds, by worker, the last end that ``records`` cover. It may be
     acknowledged once they are on the log. ``probes`` names workers to call at once, to
-    test whether they answer. ``ended`` names jobs none of whose tasks may run any more.
+    test whether they answer. ``ended`` names jobs none of whose tasks may run any more,
+    ``folded`` progress that is to be removed once ``records`` are on the log.
     ``leases`` is the note on silent workers for the log, ``speeds`` that on the speeds
     of workers.
     """
@@ -104,6 +104,7 @@
     seen: dict[str, SeenEnds] = field(default_factory=dict)
     probes: list[str] = field(default_factory=list)
     ended: list[EndedJob] = field(default_factory=list)
+    folded: list[ProgressPart] = field(default_factory=list)
     leases: LeaseNote | None = None
     speeds: SpeedsNote | None = None
 
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -41,7 +41,7 @@
 
 PLACEMENT_INTERVAL_S = 0.5
 """How often placement of waiting tasks is tried again while nothing changes."""
-JOBS_LOADED_PER_PART = 500
+TASKS_LOADED_PER_PART = 1000
 
 
 class FleetScheduler:
@@ -141,11 +141,16 @@
 
         Jobs that the registry gets meanwhile are left out.
         """
-        for number, entry in enumerate(list(registry.entries.values()), 1):
-            if number % JOBS_LOADED_PER_PART == 0:
+        added = 0
+        for entry in list(registry.entries.values()):
+            if entry.job is None:
+                continue
+            before = self.state.task_count
+            self.add_job(entry, now_s, now_ms)
+            added += 1 + self.state.task_count - before
+            if added >= TASKS_LOADED_PER_PART:
+                added = 0
                 yield
-            if entry.job is not None:
-                self.add_job(entry, now_s, now_ms)
         for worker in self.state.workers.values():
             if worker.listed:
                 # It may have come up in place of one that a former owner lost.
@@ -319,6 +324,9 @@
         self._next_stop_s = stop_tasks_in_time(state, now_s)
         self._send_stops_again(now_s)
         self._end_finished_jobs(now_s, now_ms)
+        for active in state.jobs.values():
+            state.fold_done_runs(active, now_s)
+            state.open_due_runs(active, now_s, now_ms)
         state.round.leases = self._silent_leases.update(state.workers.values(), now_s)
         self._speed_notes.update(state.speeds, state.workers, state.round, now_s)
         if state.changed or self._has_more or now_s >= self._next_placement_s:
@@ -344,14 +352,23 @@
     def get_next_due_s(self, now_s: float) -> float:
         """Return when something is due next, in monotonic seconds.
 
-        That is a run of a scheduled job, or the stop of tasks on a leaving worker. A
-        stop that has fallen due since the last decision is due now.
+        That is a run of a scheduled job, a job whose time of submission is in the
+        future, or the stop of tasks on a leaving worker. A stop that has fallen due
+        since the last decision is due now.
         """
         due = [
             phase.due_s
             for active, phase in self.state.iter_phases()
             if not active.ended and phase.due_s > now_s
         ]
+        due += [
+            due_s
+            for active in self.state.jobs.values()
+            if not active.ended
+            and active.has_unopened_runs
+            # A run that is due already waits for others to be done.
+            and (due_s := active.get_due_s(active.next_run)) > now_s
+        ]
         return min([*due, self._next_stop_s])
 
     def list_unserved_s(self, now_s: float) -> list[float]:
@@ -387,7 +404,7 @@
     def _end_finished_jobs(self, now_s: float, now_ms: int) -> None:
         for active in list(self.state.jobs.values()):
             phases = active.phases.values()
-            if not active.ended and all(phase.is_done for phase in phases):
+            if not active.ended and active.is_done:
                 self.state.end_job(active, Code.JOB_FINISHED, now_s, now_ms)
             elif active.given_up:
                 self.state.end_job(active, Code.JOB_FAILED, now_s, now_ms)
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from larkhoist.codes import Code
@@ -46,11 +46,13 @@
 )
 from larkhoist.fleet.worker import FleetWorker
 from larkhoist.jobs.records import (
-    BlockId,
     BlockProgress,
+    DoneRuns,
     JobBegun,
     JobOutcome,
+    PhaseId,
     PhaseProgress,
+    ProgressPart,
     get_block_number,
     may_use_blocks,
     shows_run,
@@ -62,6 +64,13 @@
 
 MAX_CLOCK_SKEW_MS = 200
 """The largest usual difference between the wall clocks of two instances."""
+MAX_OPEN_TASKS = 2_000
+"""How many tasks of one job's open runs are held, unless one run alone has more. A task
+takes some 1.6 kB."""
+MIN_FOLDED_RUNS = 64
+FOLD_AFTER_S = 10.0
+"""How long the tasks of a run that is done are held. Until then, reports that were sent
+before its end may name them."""
 
 
 @dataclass(slots=True)
@@ -117,34 +126,96 @@
     def add_job(self, entry: StagedJobEntry, now_s: float, now_ms: int) -> ActiveJob:
         """Add a job from the log; tasks that may run count as running."""
         job = entry.job
-        active = ActiveJob(job, now_s + (job.submitted_ms - now_ms) / 1000)
+        submitted_s = now_s + (job.submitted_ms - now_ms) / 1000
+        active = ActiveJob(job, submitted_s, added_s=now_s, added_ms=now_ms)
         active.ended = entry.outcome is not None
         active.begun = entry.begun
-        progress_by_step = {(p.run, p.step): value for p, value in entry.phases.items()}
-        blocks_by_step: dict[tuple[int, int], list[int]] = {}
+        active.done_runs = entry.done_runs
+        for run in sorted({phase.run for phase in entry.phases}):
+            if run < job.run_count:
+                self._open_run(active, run, entry.phases, now_s, now_ms)
         for block in entry.blocks:
-            key = (block.phase.run, block.phase.step)
-            blocks_by_step.setdefault(key, []).append(block.number)
-        for run in range(job.run_count):
-            due_s = now_s + (job.get_due_ms(run) - now_ms) / 1000
-            for step in range(len(job.steps)):
-                progress = progress_by_step.get((run, step))
-                phase = create_phase(job, run, step, due_s, progress)
-                active.phases[(run, step)] = phase
-                numbers = blocks_by_step.get((run, step), ())
-                phase.blocks.update(numbers)
-                self._index_phase(phase, now_s)
-                if progress is not None:
-                    self._restore_losses(phase, progress, now_s, now_ms)
-                since_ms = find_wait_start_ms(job, phase.id, entry.phases)
-                self._restore_wait_start(phase, since_ms, now_s, now_ms)
+            phase = active.phases.get((block.phase.run, block.phase.step))
+            if phase is not None:
+                phase.blocks.add(block.number)
+        self.open_due_runs(active, now_s, now_ms)
         self.jobs[job.job_id] = active
-        if any(shows_run(task) for p in entry.phases.values() for task in p.tasks):
+        shown = (shows_run(task) for p in entry.phases.values() for task in p.tasks)
+        if active.done_runs.ranges or any(shown):
             # The progress may have reached the log without the record.
             self.note_begun(active)
         self.changed = True
         return active
 
+    def open_due_runs(self, active: ActiveJob, now_s: float, now_ms: int) -> None:
+        """Open the runs of a job that are due; both times are the current time.
+
+        A run is held in memory only from then on. Where many are due, some wait until
+        others are done.
+        """
+        job = active.job
+        if active.ended or not active.has_unopened_runs:
+            return
+        if job.runs and active.get_due_s(active.next_run) > now_s:
+            return
+        tasks = sum(step.count for step in job.steps)
+        left = max(1, MAX_OPEN_TASKS // tasks) - active.count_open_runs()
+        while left > 0 and active.has_unopened_runs:
+            run = active.next_run
+            if job.runs and active.get_due_s(run) > now_s:
+                return
+            active.next_run += 1
+            if (run, 0) not in active.phases and run not in active.done_runs:
+                self._open_run(active, run, {}, now_s, now_ms)
+                self.changed = True
+                left -= 1
+
+    def fold_done_runs(self, active: ActiveJob, now_s: float) -> None:
+        """Keep of runs that are done for some time only the fact that they are.
+
+        Otherwise, a job that runs for long would take more and more memory.
+        """
+        steps = len(active.job.steps)
+        if active.ended or len(active.phases) < MIN_FOLDED_RUNS * steps:
+            return
+        done = active.list_done_runs(now_s - FOLD_AFTER_S)
+        if len(done) < MIN_FOLDED_RUNS:
+            return
+        active.done_runs = active.done_runs.add(done)
+        record = DoneRuns(active.job.job_id, active.done_runs)
+        self.round.records.append(record)
+        for run in done:
+            for phase in active.get_phases(run):
+                self._forget_tasks(phase)
+                self.round.folded += phase.list_parts()
+                del active.phases[(run, phase.id.step)]
+
+    def _forget_tasks(self, phase: Phase) -> None:
+        for task in phase.tasks:
+            self._tasks.pop(task.name, None)
+            self.suspects.discard(task.name)
+            self.lost_workers.discard(task.name, task.unsettled)
+
+    def _open_run(
+        self,
+        active: ActiveJob,
+        run: int,
+        recorded: Mapping[PhaseId, PhaseProgress],
+        now_s: float,
+        now_ms: int,
+    ) -> None:
+        """Create the phases of a run with their progress from the log, if any."""
+        job = active.job
+        for step in range(len(job.steps)):
+            progress = recorded.get(PhaseId(job.job_id, run, step))
+            phase = create_phase(job, run, step, active.get_due_s(run), progress)
+            active.phases[(run, step)] = phase
+            self._index_phase(phase, now_s)
+            if progress is not None:
+                self._restore_losses(phase, progress, now_s, now_ms)
+            since_ms = find_wait_start_ms(job, phase.id, recorded)
+            self._restore_wait_start(phase, since_ms, now_s, now_ms)
+
     def end_job(self, active: ActiveJob, code: Code, now_s: float, now_ms: int) -> None:
         """Record the outcome of a job and stop its remaining tasks."""
         if active.ended:
@@ -162,19 +233,20 @@
 
     def forget_job(self, active: ActiveJob) -> None:
         """Drop an ended job none of whose tasks may run any more."""
+        job_id = active.job.job_id
+        parts: list[ProgressPart] = []
         for phase in active.phases.values():
-            for task in phase.tasks:
-                self._tasks.pop(task.name, None)
-                self.suspects.discard(task.name)
-                self.lost_workers.discard(task.name, task.unsettled)
-        del self.jobs[active.job.job_id]
-        phases = tuple(phase.id for phase in active.phases.values())
-        blocks = tuple(
-            BlockId(phase.id, number)
-            for phase in active.phases.values()
-            for number in sorted(phase.blocks)
-        )
-        self.round.ended.append(EndedJob(active.job.job_id, phases, blocks))
+            self._forget_tasks(phase)
+            parts += phase.list_parts()
+        if active.done_runs.ranges:
+            parts.append(DoneRuns(job_id, active.done_runs))
+        del self.jobs[job_id]
+        self.round.ended.append(EndedJob(job_id, tuple(parts)))
+
+    @property
+    def task_count(self) -> int:
+        """Return how many tasks are held."""
+        return len(self._tasks)
 
     def iter_phases(self) -> Iterator[tuple[ActiveJob, Phase]]:
         """Yield every phase with its job."""
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -9,15 +9,18 @@
 from larkhoist.fleet.speeds import StepSize
 from larkhoist.fleet.waits import WaitReason
 from larkhoist.jobs.records import (
+    BlockId,
     BlockProgress,
     LostWorkers,
     PhaseId,
     PhaseProgress,
+    ProgressPart,
     RecordedLoss,
     TaskProgress,
     count_block_tasks,
     get_first_task,
 )
+from larkhoist.jobs.run_ranges import RunRanges
 from larkhoist.jobs.spec import StagedJob, StepSpec, make_task_name
 from larkhoist.ports.fleet import Resources
 
@@ -263,6 +266,10 @@
             _make_recorded_losses(tasks, now_s, now_ms),
         )
 
+    def list_parts(self) -> list[ProgressPart]:
+        """Return the records of its progress that may be on the log."""
+        return [self.id, *(BlockId(self.id, number) for number in sorted(self.blocks))]
+
     def _get_recorded_since_ms(self, now_s: float, now_ms: int) -> int:
         return now_ms - int(1000 * (now_s - self._get_recorded_unserved_since_s()))
 
@@ -295,11 +302,19 @@
     set if too many workers were lost under one of its tasks. ``yielded_to`` is the job
     of another customer for which its guaranteed tasks were stopped. ``declared_paths``
     is None until it is first needed.
+
+    ``phases`` holds the runs that are open. ``next_run`` is the first one that was not
+    opened yet, and ``done_runs`` are those of which nothing else is held any more. A
+    job was added at ``added_s``, which was ``added_ms`` in Unix milliseconds.
     """
 
     job: StagedJob
     submitted_s: float
+    added_s: float = 0.0
+    added_ms: int = 0
     phases: dict[tuple[int, int], Phase] = field(default_factory=dict)
+    next_run: int = 0
+    done_runs: RunRanges = RunRanges()
     ended: bool = False
     begun: bool = False
     firm: bool = False
@@ -312,6 +327,18 @@
         """Return the priority, 0 being the highest."""
         return self.job.terms.priority
 
+    @property
+    def has_unopened_runs(self) -> bool:
+        """Tell whether some runs are not open yet, since they are not due."""
+        return self.next_run < self.job.run_count
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether every task of every run is done."""
+        if self.has_unopened_runs:
+            return False
+        return all(phase.is_done for phase in self.phases.values())
+
     @property
     def is_out_of_attempts(self) -> bool:
         """Tell whether a task that isn't long-running has failed too often."""
@@ -325,6 +352,10 @@
     @property
     def all_first_steps_started(self) -> bool:
         """Tell whether all tasks of the first run's initial steps have begun."""
+        if 0 in self.done_runs:
+            return True
+        if (0, 0) not in self.phases:
+            return False
         return all(
             task.has_begun
             for phase in self.get_phases(0)
@@ -336,6 +367,25 @@
         """Return the phases of one run in the order of the steps."""
         return [self.phases[(run, step)] for step in range(len(self.job.steps))]
 
+    def get_due_s(self, run: int) -> float:
+        """Return the time from which a run may start, in monotonic seconds."""
+        return self.added_s + (self.job.get_due_ms(run) - self.added_ms) / 1000
+
+    def count_open_runs(self) -> int:
+        """Return how many runs are open and not done."""
+        return len(
+            {run for (run, _), phase in self.phases.items() if not phase.is_done}
+        )
+
+    def list_done_runs(self, before_s: float) -> list[int]:
+        """Return the open runs all of whose tasks had ended as done at ``before_s``."""
+        left = {
+            run
+            for (run, _), phase in self.phases.items()
+            if not phase.is_done or phase.unserved_since_s > before_s
+        }
+        return sorted({run for run, _ in self.phases} - left)
+
     def is_ready(self, phase: Phase, now_s: float) -> bool:
         """Tell whether the phase is due and the steps it depends on are done."""
         if now_s < phase.due_s:
--- a/src/larkhoist/jobs/records.py
+++ b/src/larkhoist/jobs/records.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from larkhoist.jobs.run_ranges import RunRanges
 from larkhoist.jobs.spec import StagedJob
 from larkhoist.ports.keyed_log import KeyedRecord
 
@@ -24,6 +25,7 @@
     "SPEEDS_VERSION",
     "BlockId",
     "BlockProgress",
+    "DoneRuns",
     "JobAccepted",
     "JobBegun",
     "JobCancelRequested",
@@ -32,6 +34,7 @@
     "LostWorkers",
     "PhaseId",
     "PhaseProgress",
+    "ProgressPart",
     "RecordedLoss",
     "RecordedSpeed",
     "RemainingLeases",
@@ -46,7 +49,7 @@
     "make_closing_records",
     "make_expiry_records",
     "make_leases_record",
-    "make_phase_drop",
+    "make_progress_drop",
     "make_speeds_records",
     "may_use_blocks",
     "shows_run",
@@ -202,6 +205,16 @@
     losses: tuple[RecordedLoss, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
+class DoneRuns(msgspec.Struct, frozen=True, tag="d"):
+    """The runs of a job that are done and have no other progress on the log.
+
+    Builds from before it can't read it, so that they don't schedule the job.
+    """
+
+    job_id: str
+    runs: RunRanges
+
+
 class RemainingLeases(msgspec.Struct, frozen=True, tag="l"):
     """Longest remaining time of the leases of silent workers, in ms by worker.
 
@@ -248,10 +261,13 @@
     | JobBegun
     | PhaseProgress
     | BlockProgress
+    | DoneRuns
     | RemainingLeases
     | WorkerSpeedsRecord
     | JobOutcome
 )
+ProgressPart = PhaseId | BlockId | DoneRuns
+"""What names one record of a job's progress."""
 LEASES_KEY = "l"
 
 _encoder = msgspec.msgpack.Encoder()
@@ -271,6 +287,8 @@
             key = _make_phase_key(phase)
         case BlockProgress(phase, number):
             key = _make_block_key(phase, number)
+        case DoneRuns(job_id):
+            key = _make_done_runs_key(job_id)
         case RemainingLeases():
             key = LEASES_KEY
         case WorkerSpeedsRecord(part=part):
@@ -327,13 +345,15 @@
     return max(1, ceil(workers / SPEEDS_PER_RECORD))
 
 
-def make_phase_drop(part: PhaseId | BlockId) -> KeyedRecord:
-    """Return the record that removes a phase or a block from the stream of progress."""
+def make_progress_drop(part: ProgressPart) -> KeyedRecord:
+    """Return the record that removes a part from the stream of progress."""
     match part:
         case PhaseId():
             key = _make_phase_key(part)
         case BlockId(phase, number):
             key = _make_block_key(phase, number)
+        case DoneRuns(job_id):
+            key = _make_done_runs_key(job_id)
     return KeyedRecord(key, b"")
 
 
@@ -371,6 +391,10 @@
     return f"p{phase.job_id}.{phase.run}.{phase.step}"
 
 
+def _make_done_runs_key(job_id: str) -> str:
+    return f"d{job_id}"
+
+
 def _make_block_key(phase: PhaseId, number: int) -> str:
     return f"{_make_phase_key(phase)}.{number}"
 
--- a/src/larkhoist/jobs/registry.py
+++ b/src/larkhoist/jobs/registry.py
@@ -19,6 +19,7 @@
     SPEEDS_VERSION,
     BlockId,
     BlockProgress,
+    DoneRuns,
     JobAccepted,
     JobBegun,
     JobCancelRequested,
@@ -26,11 +27,13 @@
     JobRecord,
     PhaseId,
     PhaseProgress,
+    ProgressPart,
     RecordedSpeed,
     RemainingLeases,
     WorkerSpeedsRecord,
     decode_job_record,
 )
+from larkhoist.jobs.run_ranges import RunRanges
 from larkhoist.jobs.spec import StagedJob
 from larkhoist.jobs.step_progress import StoredProgress, combine_progress
 from larkhoist.ports.keyed_log import StoredRecord
@@ -64,8 +67,9 @@
 
     ``job`` may be None once the job has ended. ``phases`` is the progress that this
     instance read when it became the owner, and ``blocks`` are the blocks in which the
-    log holds some of it. If a record of it can't be decoded, ``unreadable`` is set: it
-    is unknown which tasks of the job run or have run.
+    log holds some of it. ``done_runs`` are done runs that have no other progress. If a
+    record can't be decoded, ``unreadable`` is set: it is unknown which tasks of the job
+    run or have run.
     """
 
     job: StagedJob | None = None
@@ -74,8 +78,15 @@
     outcome: JobOutcome | None = None
     phases: dict[PhaseId, PhaseProgress] = field(default_factory=dict)
     blocks: set[BlockId] = field(default_factory=set)
+    done_runs: RunRanges = RunRanges()
     unreadable: bool = False
 
+    def clear_progress(self) -> None:
+        """Forget the progress that was read from the log."""
+        self.phases = {}
+        self.blocks = set()
+        self.done_runs = RunRanges()
+
     @property
     def state(self) -> JobState:
         """Return the state that a caller is shown."""
@@ -146,22 +157,20 @@
             for entry in self.entries.values()
         )
 
-    def replace_progress(
-        self, records: Iterable[StoredRecord]
-    ) -> list[PhaseId | BlockId]:
+    def replace_progress(self, records: Iterable[StoredRecord]) -> list[ProgressPart]:
         """Replace the progress of all jobs by the one in ``records``.
 
-        Returns phases and blocks that belong to no open job. They remain on the log if
-        an owner stops after closing a job and before removing all its progress.
+        Returns the parts that belong to no open job, or to runs that are recorded as
+        done. They remain on the log if an owner stops before it has removed them.
         """
         for entry in self.entries.values():
-            entry.phases = {}
-            entry.blocks = set()
+            entry.clear_progress()
             entry.unreadable = False
         self.remaining_leases_s = {}
         self.speeds = {}
         self.speeds_parts = 0
         by_phase: dict[PhaseId, list[StoredProgress]] = {}
+        orphaned: list[ProgressPart] = []
         for record in records:
             match _decode_progress(record):
                 case None:
@@ -173,13 +182,18 @@
                 case WorkerSpeedsRecord(speeds, part=part):
                     self.speeds |= speeds
                     self.speeds_parts = max(self.speeds_parts, 1 + (part or 0))
+                case DoneRuns(job_id, runs) as done:
+                    entry = self.entries.get(job_id)
+                    if entry is None or entry.job is None:
+                        orphaned.append(done)
+                    else:
+                        entry.done_runs = runs
                 case PhaseProgress(phase) | BlockProgress(phase) as progress:
                     stored = StoredProgress(record.offset, progress)
                     by_phase.setdefault(phase, []).append(stored)
-        orphaned = []
         for phase, stored in by_phase.items():
             entry = self.entries.get(phase.job_id)
-            if entry is None or entry.job is None:
+            if entry is None or entry.job is None or phase.run in entry.done_runs:
                 orphaned += [each.id for each in stored]
             else:
                 _set_progress(entry, phase, stored)
@@ -227,8 +241,7 @@
             del self.entries[job_id]
         elif key.startswith("a"):
             entry.job = None
-            entry.phases = {}
-            entry.blocks = set()
+            entry.clear_progress()
 
 
 def _set_progress(
@@ -260,7 +273,14 @@
 
 def _decode_progress(
     record: StoredRecord,
-) -> PhaseProgress | BlockProgress | RemainingLeases | WorkerSpeedsRecord | None:
+) -> (
+    PhaseProgress
+    | BlockProgress
+    | DoneRuns
+    | RemainingLeases
+    | WorkerSpeedsRecord
+    | None
+):
     try:
         decoded = decode_job_record(record.value)
     except msgspec.DecodeError as error:
@@ -271,7 +291,11 @@
             _log_unreadable(PROGRESS_STREAM, record, f"version {version}")
             return None
         case (
-            PhaseProgress() | BlockProgress() | RemainingLeases() | WorkerSpeedsRecord()
+            PhaseProgress()
+            | BlockProgress()
+            | DoneRuns()
+            | RemainingLeases()
+            | WorkerSpeedsRecord()
         ):
             return decoded
     _log_unreadable(PROGRESS_STREAM, record, f"{type(decoded).__name__}, no progress")
--- a/tests/fleet/machine.py
+++ b/tests/fleet/machine.py
@@ -35,7 +35,7 @@
     JobCancelRequested,
     JobRecord,
     encode_job_record,
-    make_phase_drop,
+    make_progress_drop,
 )
 from larkhoist.jobs.registry import JobRegistry
 from larkhoist.jobs.spec import StagedJob
@@ -320,7 +320,7 @@
         scheduler.set_cordoned_halls(self._read_cordoned)
         scheduler.update_workers(self._read_list, self.now_s)
         left_over = self.registry.replace_progress(self.progress.values())
-        drops = tuple(make_phase_drop(part) for part in left_over)
+        drops = tuple(make_progress_drop(part) for part in left_over)
         if not any(self.blocks):
             self._store_progress(drops)
         scheduler.load_jobs(self.registry, self.now_s, self.now_ms)
