Compute the slots of a worker as far as a search asks for them

Cause: the search for victims listed a slot for each time that a task fits into the free room of a worker, a million times for a step that needs nothing, and for each time that a small task fits into the room of a victim.

Change: SlotCurve computes the slots lazily and keeps those in free room as a number, so that a search holds about as many as the step has tasks.

--- a/src/larkhoist/fleet/preemption.py
+++ b/src/larkhoist/fleet/preemption.py
@@ -14,8 +14,8 @@
 from larkhoist.fleet.state import FleetState
 from larkhoist.fleet.stop_costs import (
     Slot,
+    SlotCurve,
     WorkerVictim,
-    list_slots,
     make_worker_victim,
 )
 from larkhoist.fleet.task import ActiveJob
@@ -61,22 +61,14 @@
         return sum(victim.cost for victim in self.victims)
 
 
-@dataclass(frozen=True, slots=True)
-class _CostCurve:
-    """The slots of a worker, in order of use, computed for its ``free`` room."""
-
-    free: Resources
-    slots: tuple[Slot, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class _Estimate:
     """The cost of a group's slots, and the cost curves from which it was computed."""
 
-    curves: tuple[_CostCurve, ...]
+    curves: tuple[SlotCurve, ...]
     cost: float | None
 
-    def is_valid(self, group: WorkerGroup, curves: dict[str, _CostCurve]) -> bool:
+    def is_valid(self, group: WorkerGroup, curves: dict[str, SlotCurve]) -> bool:
         """Tell whether no worker of the group has changed since the estimate."""
         for worker, curve in zip(group.workers, self.curves, strict=True):
             if curve.free is not worker.free or curves.get(worker.name) is not curve:
@@ -114,16 +106,17 @@
         self._heap: list[tuple[float, str, int, int]] = []
         self._versions: dict[str, int] = defaultdict(int)
 
-    def push(self, name: str, slots: tuple[Slot, ...], number: int) -> None:
+    def push(self, name: str, curve: SlotCurve, number: int) -> None:
         """Add slot ``number`` of a worker, if it has that many."""
-        if number < len(slots):
-            entry = (slots[number].cost, name, number, self._versions[name])
+        slot = curve.get(number)
+        if slot is not None:
+            entry = (slot.cost, name, number, self._versions[name])
             heappush(self._heap, entry)
 
-    def replace(self, name: str, slots: tuple[Slot, ...]) -> None:
+    def replace(self, name: str, curve: SlotCurve) -> None:
         """Replace all earlier slots of a worker by the first of the new ones."""
         self._versions[name] += 1
-        self.push(name, slots, 0)
+        self.push(name, curve, 0)
 
     def pop(self) -> tuple[str, int] | None:
         """Remove the cheapest slot; return its worker and number, None if empty."""
@@ -144,7 +137,7 @@
         self, state: FleetState, now_s: float, preempting_job: ActiveJob | None = None
     ):
         self._by_worker: dict[str, list[WorkerVictim]] = defaultdict(list)
-        self._curves: dict[tuple[Resources, Preemptor], dict[str, _CostCurve]] = (
+        self._curves: dict[tuple[Resources, Preemptor], dict[str, SlotCurve]] = (
             defaultdict(dict)
         )
         self._estimates: dict[tuple, _Estimate] = {}
@@ -249,43 +242,46 @@
     def _list_costs(self, group, spec, count, taken, preemptor) -> list[float]:
         """Return the costs of the cheapest slots of a group, ``count`` at the most."""
         curves = []
+        heap = []
         for worker in group.workers:
-            slots = self._get_curve(worker, spec, preemptor).slots
             limit = _get_limit(worker.name, spec, count, taken)
-            if slots and limit > 0:
-                curves.append(slots[:limit])
-        heap = [(slots[0].cost, number, 0) for number, slots in enumerate(curves)]
+            curve = self._get_curve(worker, spec, preemptor)
+            slot = curve.get(0) if limit > 0 else None
+            if slot is not None:
+                heap.append((slot.cost, len(curves), 0))
+                curves.append((curve, limit))
         heapify(heap)
         costs: list[float] = []
         while heap and len(costs) < count:
             cost, number, place = heap[0]
             costs.append(cost)
-            if place + 1 < len(curves[number]):
-                next_cost = curves[number][place + 1].cost
-                heapreplace(heap, (next_cost, number, place + 1))
+            curve, limit = curves[number]
+            slot = curve.get(place + 1) if place + 1 < limit else None
+            if slot is not None:
+                heapreplace(heap, (slot.cost, number, place + 1))
             else:
                 heappop(heap)
         return costs
 
     def _get_curve(
         self, worker: FleetWorker, spec: StepSpec, preemptor: Preemptor
-    ) -> _CostCurve:
+    ) -> SlotCurve:
         curves = self._curves[spec.need, preemptor]
         curve = curves.get(worker.name)
         if curve is None or curve.free is not worker.free:
             victims = self._list_victims(worker.name, preemptor)
-            slots = list_slots(worker.free, spec.need, victims)
-            curve = curves[worker.name] = _CostCurve(worker.free, slots)
+            curve = SlotCurve(worker.free, spec.need, victims)
+            curves[worker.name] = curve
         return curve
 
     # Choosing victims in one group.
 
     def _choose(self, group, spec, count, taken, preemptor) -> Room | None:
         choice = _Choice({worker.name: worker for worker in group})
-        curves = {w.name: self._get_curve(w, spec, preemptor).slots for w in group}
+        curves = {w.name: self._get_curve(w, spec, preemptor) for w in group}
         heap = _Heap()
-        for name, slots in curves.items():
-            heap.push(name, slots, 0)
+        for name, curve in curves.items():
+            heap.push(name, curve, 0)
         places: list[str] = []
         while len(places) < count:
             entry = heap.pop()
@@ -296,7 +292,7 @@
                 continue
             choice.taken[name] += 1
             places.append(name)
-            changed = self._take_slot(choice, curves[name][number])
+            changed = self._take_slot(choice, curves[name].get(number))
             for other in sorted(changed):
                 curves[other] = self._refresh(choice, other, spec.need, preemptor)
                 heap.replace(other, curves[other])
@@ -319,12 +315,12 @@
 
     def _refresh(
         self, choice: _Choice, name: str, need: Resources, preemptor: Preemptor
-    ) -> tuple[Slot, ...]:
+    ) -> SlotCurve:
         """Return a worker's new slots after a gang that also runs there was chosen."""
         victims = self._list_victims(name, preemptor)
         victims = [one for one in victims if one.victim not in choice.chosen]
         free = choice.get_free(name) - need.scale(choice.taken[name])
-        return list_slots(free, need, victims)
+        return SlotCurve(free, need, victims)
 
 
 def make_preemptor(active: ActiveJob) -> Preemptor:
--- a/src/larkhoist/fleet/stop_costs.py
+++ b/src/larkhoist/fleet/stop_costs.py
@@ -1,13 +1,14 @@
 """Compute which victims to stop on a worker for each further task, and their cost."""
 
 from collections import deque
+from collections.abc import Iterator
 
 import msgspec
 
 from larkhoist.fleet.victim import Victim
 from larkhoist.ports.fleet import Resources
 
-__all__ = ["WorkerVictim", "Slot", "list_slots", "make_worker_victim"]
+__all__ = ["Slot", "SlotCurve", "WorkerVictim", "make_worker_victim"]
 
 
 class WorkerVictim(msgspec.Struct, frozen=True, gc=False, eq=False):
@@ -41,15 +42,41 @@
     return WorkerVictim(victim, gain, victim.cost * task_count / len(victim.tasks))
 
 
-def list_slots(
-    free: Resources, need: Resources, victims: list[WorkerVictim]
-) -> tuple[Slot, ...]:
-    """Return a slot for each task that fits into ``free`` and the victims' room.
+class SlotCurve:
+    """The slots of a worker in order of use, computed as far as they are asked for.
 
-    Victims with the lowest cost for the share of the lacking room that they free come
-    first. A victim that a slot turns out not to need is used for later slots.
+    A small task, or one that needs nothing, fits many times into a worker. There are
+    only as many slots in memory as a step has tasks.
+    """
+
+    def __init__(self, free: Resources, need: Resources, victims: list[WorkerVictim]):
+        self.free = free
+        self._free_count = free.count_fitting(need)
+        self._slots: list[Slot] = []
+        self._more = _iter_slots(free, need, victims, self._free_count)
+
+    def get(self, number: int) -> Slot | None:
+        """Return slot ``number`` from 0 on, None if the worker has fewer."""
+        place = number - self._free_count
+        if place < 0:
+            return FREE_SLOT
+        while len(self._slots) <= place:
+            slot = next(self._more, None)
+            if slot is None:
+                return None
+            self._slots.append(slot)
+        return self._slots[place]
+
+
+def _iter_slots(
+    free: Resources, need: Resources, victims: list[WorkerVictim], free_count: int
+) -> Iterator[Slot]:
+    """Yield a slot for each task that fits into the room of victims.
+
+    ``free_count`` more fit into ``free``. Victims with the lowest cost for the share of
+    the lacking room that they free come first. A victim that a slot turns out not to
+    need is used for later slots.
     """
-    slots = [FREE_SLOT] * free.count_fitting(need)
     lacking = need - free
     ranked = sorted(
         victims,
@@ -59,21 +86,22 @@
     )
     remaining = deque(ranked)
     room = free
+    count = free_count
     added: list[WorkerVictim] = []
     while remaining:
         local = remaining.popleft()
         added.append(local)
         room += local.gain
-        while room.count_fitting(need) > len(slots):
-            kept, room = _drop_unneeded(added, room, need, len(slots) + 1)
+        while room.count_fitting(need) > count:
+            count += 1
+            kept, room = _drop_unneeded(added, room, need, count)
             cost = sum([candidate.cost for candidate in kept])
-            slots.append(Slot(cost, tuple([candidate.victim for candidate in kept])))
             if len(kept) < len(added):
                 remaining.extend(
                     candidate for candidate in added if candidate not in kept
                 )
             added = []
-    return tuple(slots)
+            yield Slot(cost, tuple([candidate.victim for candidate in kept]))
 
 
 def _get_freed_share(gain: Resources, lacking: Resources) -> float:
--- a/tests/fleet/test_decision_cost.py
+++ b/tests/fleet/test_decision_cost.py
@@ -1,5 +1,7 @@
 """Test how the cost of one decision grows with what callers hand in."""
 
+import tracemalloc
+
 import pytest
 
 from larkhoist.fleet.policy import FleetPolicy
@@ -117,3 +119,47 @@
     scheduler = make_scheduler()
     assert sum(1 for _ in scheduler.load(registry, NOW_S, NOW_MS)) >= 5
     assert len(scheduler.state.jobs) == 3000
+
+
+def fill_workers(scheduler: FleetScheduler) -> None:
+    """Run a task of each accelerator, and a task without needs on each worker."""
+    workers = len(scheduler.state.workers)
+    filling = StepSpec(
+        count=workers + 1, spread_limit=1, fills=True, long_running=True, cpu_milli=2000
+    )
+    borrowed = StepSpec(count=8 * workers, accelerators=1, estimate_ms=9000)
+    for number, (step, priority) in enumerate(((filling, 0), (borrowed, 2))):
+        job = make_job(number, step, priority=priority)
+        scheduler.add_job(StagedJobEntry(job), NOW_S, NOW_MS)
+    scheduler.decide(NOW_S, NOW_MS)
+
+
+def measure_peak(decide) -> int:
+    """Return the most bytes that ``decide`` holds beyond what is held before it."""
+    tracemalloc.start()
+    decide()
+    _, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return peak
+
+
+def test_a_search_for_victims_of_a_step_without_needs_takes_little_memory():
+    # Guards against 8 MB for each worker, by which owners exceeded their memory.
+    scheduler = make_scheduler(24)
+    fill_workers(scheduler)
+    later_s, later_ms = NOW_S + 1.0, NOW_MS + 1000
+    peak = measure_peak(lambda: scheduler.decide(later_s, later_ms))
+    assert peak < 2_000_000
+
+
+def test_a_search_for_victims_of_small_tasks_takes_little_memory():
+    # Guards against a slot for each time that a small task fits into a victim's room.
+    scheduler = make_scheduler(24)
+    load = StepSpec(count=24, cpu_milli=16_000, accelerators=8, estimate_ms=9000)
+    loaded = make_job(1, load, priority=2)
+    scheduler.add_job(StagedJobEntry(loaded), NOW_S, NOW_MS)
+    scheduler.decide(NOW_S, NOW_MS)
+    small = make_job(2, StepSpec(count=4, cpu_milli=1, estimate_ms=9000), priority=0)
+    scheduler.add_job(StagedJobEntry(small), NOW_S, NOW_MS)
+    peak = measure_peak(lambda: scheduler.decide(NOW_S, NOW_MS))
+    assert peak < 2_000_000
