Decide in one place who may know of a job

Cause: jobs were found by their id alone, and the check of the customer let every call without a customer pass, as calls on public queues are.

Change: jobs/access.py decides by the queue that accepted the job and its customer, for GET, DELETE and a repeated POST. A stranger is told that no job has this id. The outcome of a job names its queue, since nothing else is kept of it.

--- a/src/larkhoist/control/job_operations.py
+++ b/src/larkhoist/control/job_operations.py
@@ -11,6 +11,7 @@
 from larkhoist.control.stream_follower import StreamFollower
 from larkhoist.control.stream_writer import StreamWriter
 from larkhoist.daemon.logs import log_event
+from larkhoist.jobs.access import find_refusal
 from larkhoist.jobs.catalog import CustomerAccount, JobQueue
 from larkhoist.jobs.records import JobAccepted, JobCancelRequested, encode_job_record
 from larkhoist.jobs.registry import JobRegistry, JobState, StagedJobEntry
@@ -98,7 +99,9 @@
         entry = self._registry.get(job.job_id)
         if entry is not None:
             log_event(_logger, "job-known", job=job.job_id, state=entry.state.value)
-            return self._check_customer(job.job_id, entry, job.customer)
+            problem = self._check_access(entry, job.job_id, job.queue, job.customer)
+            # A submission can't hide that its id is taken.
+            return None if problem is None else Problem(Code.NOT_YOURS)
         began_s = asyncio.get_running_loop().time()
         record = encode_job_record(JobAccepted(job))
         problem = await self._writer.commit((record,), timeout_s)
@@ -169,7 +172,8 @@
                 return self._refuse(Code.NOT_READY, "the state may be old")
         if entry is None:
             return self._refuse(Code.JOB_UNKNOWN, job_id)
-        problem = self._check_customer(job_id, entry, permit.customer_name)
+        queue, customer = permit.queue.name, permit.customer_name
+        problem = self._check_access(entry, job_id, queue, customer)
         return Success(entry) if problem is None else Failure(problem)
 
     async def _check(self, follower: StreamFollower) -> bool:
@@ -180,19 +184,22 @@
         """
         return follower.is_connected and await follower.catch_up(self._times.check_s)
 
-    def _check_customer(
-        self, job_id: str, entry: StagedJobEntry, customer: str
+    def _check_access(
+        self, entry: StagedJobEntry, job_id: str, queue: str, customer: str
     ) -> Problem | None:
-        if entry.customer == customer or not customer or not entry.customer:
+        code = find_refusal(entry, queue, customer)
+        if code is None:
             return None
         log_event(
             _logger,
             "refused",
             job=job_id,
-            reason=Code.NOT_YOURS.name,
+            reason="NO_ACCESS",
+            answer=code.name,
+            queue=queue,
             customer=customer,
         )
-        return Problem(Code.NOT_YOURS)
+        return Problem(code, detail=job_id if code is Code.JOB_UNKNOWN else "")
 
     def _refuse(self, code: Code, detail: str):
         retry_after_s = None
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -222,7 +222,8 @@
             return
         active.ended = True
         job_id = active.job.job_id
-        outcome = JobOutcome(job_id, code, now_ms, active.job.customer)
+        job = active.job
+        outcome = JobOutcome(job_id, code, now_ms, job.customer, job.queue)
         self.round.records.append(outcome)
         self.note("job-ended", job=job_id, result=code.name.lower())
         for phase in active.phases.values():
--- a/src/larkhoist/jobs/records.py
+++ b/src/larkhoist/jobs/records.py
@@ -246,13 +246,15 @@
 class JobOutcome(msgspec.Struct, frozen=True, tag="o"):
     """Result code of an ended job and its end time (Unix milliseconds).
 
-    ``customer`` is the customer that may query the job; nothing else is kept of it.
+    ``customer`` and ``queue`` tell who may query the job; nothing else is kept of it.
+    Builds from before the queue leave it out.
     """
 
     job_id: str
     code: int
     at_ms: int
     customer: str = ""
+    queue: str = ""
 
 
 JobRecord = (
--- a/src/larkhoist/jobs/registry.py
+++ b/src/larkhoist/jobs/registry.py
@@ -103,6 +103,13 @@
             return self.job.customer
         return self.outcome.customer if self.outcome is not None else ""
 
+    @property
+    def queue(self) -> str:
+        """Return the name of the queue that accepted the job, empty if unknown."""
+        if self.job is not None:
+            return self.job.queue
+        return self.outcome.queue if self.outcome is not None else ""
+
 
 class JobRegistry:
     """Entries of all jobs by id.
