Let guaranteed work stop long-running tasks on borrowed room

Cause: the search for victims left out every long-running step.

Change: work within a guarantee that finds no other room, even by stopping other borrowed work, may stop long-running tasks that are not within a guarantee themselves.

--- a/src/larkhoist/fleet/placement.py
+++ b/src/larkhoist/fleet/placement.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from larkhoist.fleet.availability import is_limited, list_stoppable
 from larkhoist.fleet.eligibility import Eligibility
 from larkhoist.fleet.leeway import Leeway, count_together
 from larkhoist.fleet.ranking import CriticalPaths, Rank, Tier, rank_phase
@@ -12,6 +13,7 @@
     count_room_without_checkpoints,
     count_urgent,
     get_used_share,
+    is_hard_to_stop,
 )
 from larkhoist.fleet.room_maker import RoomMaker
 from larkhoist.fleet.room_search import WorkerGroup, WorkerGroups, find_places
@@ -335,7 +337,7 @@
             count = 1
         if _is_one_at_a_time(scope, leeway):
             count = min(count, count_together(phase))
-        if not self.mostly_idle:
+        if not self.mostly_idle or is_limited(phase):
             allowed = self._count_allowed(active, phase, count)
             if leeway.overdue:
                 allowed = max(allowed, _count_allowed_overdue(leeway, phase))
@@ -445,7 +447,7 @@
         chosen = phase.get_waiting()[: len(places)]
         taken = phase.spec.accelerators * len(places)
         self.available_accelerators -= taken
-        if active.priority != 0 and not phase.spec.checkpoints:
+        if active.priority != 0 and is_hard_to_stop(phase):
             self.room_without_checkpoints -= taken
         by_index = {task.index: name for task, name in zip(chosen, places, strict=True)}
         self.state.assign(phase, by_index, self.now_s)
@@ -455,19 +457,19 @@
         """Return how many tasks may start without taking room that is kept.
 
         Room is kept from all but urgent work for what urgent work may need, and from
-        tasks without checkpoints, which are costly to stop, for guarantees as well.
+        tasks that are hard to stop for guarantees as well.
         """
         spec = phase.spec
         if active.priority == 0 or not spec.accelerators:
             return wanted
         room = self.available_accelerators
-        if not spec.checkpoints:
+        if is_hard_to_stop(phase):
             room = min(room, self.room_without_checkpoints)
         return max(0, room) // spec.accelerators
 
     def _get_kept_reason(self, phase: Phase) -> WaitReason:
         """Return which kind of work the room is kept for that a phase may not use."""
-        bounded = not phase.spec.checkpoints
+        bounded = is_hard_to_stop(phase)
         if bounded and self.room_without_checkpoints < self.available_accelerators:
             return WaitReason.KEPT_FOR_GUARANTEES
         return WaitReason.KEPT_FOR_URGENT
@@ -506,6 +508,8 @@
             holder = self.state.jobs[other.id.job_id]
             if holder.priority <= active.priority or not other.spec.checkpoints:
                 continue
+            if task not in list_stoppable(other, [task]):
+                continue
             self.state.stop(other, task, self.now_s)
             if other.spec.gang:
                 for member in other.tasks:
--- a/src/larkhoist/fleet/preemption.py
+++ b/src/larkhoist/fleet/preemption.py
@@ -130,11 +130,17 @@
 class VictimIndex:
     """The victims on each worker, for one pass at one time.
 
-    Guaranteed work is left out, except what ``preempting_job`` may stop of it.
+    Guaranteed work is left out, except what ``preempting_job`` may stop of it, and so
+    are long-running tasks without ``long_running``.
     """
 
     def __init__(
-        self, state: FleetState, now_s: float, preempting_job: ActiveJob | None = None
+        self,
+        state: FleetState,
+        now_s: float,
+        preempting_job: ActiveJob | None = None,
+        *,
+        long_running: bool = False,
     ):
         self._by_worker: dict[str, list[WorkerVictim]] = defaultdict(list)
         self._curves: dict[tuple[Resources, Preemptor], dict[str, SlotCurve]] = (
@@ -142,7 +148,8 @@
         )
         self._estimates: dict[tuple, _Estimate] = {}
         self._prices: dict[Preemptor, dict[str, tuple[float, int]]] = defaultdict(dict)
-        for victim in iter_victims(state, now_s, preempting_job):
+        victims = iter_victims(state, now_s, preempting_job, long_running=long_running)
+        for victim in victims:
             for name in victim.workers:
                 self._by_worker[name].append(make_worker_victim(victim, name))
 
--- a/src/larkhoist/fleet/room.py
+++ b/src/larkhoist/fleet/room.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from larkhoist.fleet.availability import is_limited
 from larkhoist.fleet.state import FleetState
 from larkhoist.fleet.task import Phase, TaskState
 from larkhoist.fleet.worker import FleetWorker
@@ -14,6 +15,7 @@
     "count_service_rooms",
     "count_urgent",
     "get_used_share",
+    "is_hard_to_stop",
 ]
 
 
@@ -77,10 +79,9 @@
 def count_room_without_checkpoints(
     state: FleetState, guarantees: Mapping[str, int]
 ) -> int:
-    """Return how many more accelerators tasks without checkpoints may take.
+    """Return how many more accelerators tasks may take that are hard to stop.
 
-    Such tasks are costly to stop, so they must leave the guarantees free. Negative if
-    they already use more.
+    They must leave the guarantees free. Negative if they already use more.
     """
     total = sum(
         worker.capacity.accelerators
@@ -89,12 +90,17 @@
     )
     used = 0
     for active, phase in state.iter_phases():
-        if active.priority == 0 or phase.spec.checkpoints:
+        if active.priority == 0 or not is_hard_to_stop(phase):
             continue
         used += _count_in_service(state, phase) * phase.spec.accelerators
     return total - sum(guarantees.values()) - used
 
 
+def is_hard_to_stop(phase: Phase) -> bool:
+    """Tell whether tasks lose their work by a stop, or only some may be stopped."""
+    return not phase.spec.checkpoints or is_limited(phase)
+
+
 def _count_in_service(state: FleetState, phase: Phase) -> int:
     """Return how many tasks are on workers outside cordoned halls."""
     running = [task for task in phase.tasks if task.is_on_worker]
--- a/src/larkhoist/fleet/room_maker.py
+++ b/src/larkhoist/fleet/room_maker.py
@@ -46,8 +46,14 @@
         if room is None and active.firm and not preferred_only:
             wanted = [groups.whole]
             room = victims.find_room(wanted, phase.spec, count, taken, preemptor)
+            if room is None:
+                # Last, since a long-running task is at work for as long as it runs.
+                victims = VictimIndex(self._state, self._now_s, long_running=True)
+                room = victims.find_room(wanted, phase.spec, count, taken, preemptor)
         if room is None and self._may_stop_guaranteed(active, phase):
-            victims = VictimIndex(self._state, self._now_s, active)
+            victims = VictimIndex(
+                self._state, self._now_s, active, long_running=not preferred_only
+            )
             room = victims.find_room(wanted, phase.spec, count, taken, preemptor)
         if room is None:
             return False
--- a/src/larkhoist/fleet/victim.py
+++ b/src/larkhoist/fleet/victim.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from larkhoist.fleet.availability import list_stoppable
 from larkhoist.fleet.state import FleetState
 from larkhoist.fleet.task import ActiveJob, Phase, Task, TaskState
 
@@ -29,16 +30,23 @@
 
 
 def iter_victims(
-    state: FleetState, now_s: float, preempting_job: ActiveJob | None = None
+    state: FleetState,
+    now_s: float,
+    preempting_job: ActiveJob | None = None,
+    *,
+    long_running: bool = False,
 ) -> Iterator[Victim]:
     """Yield all possible victims: single tasks, or gangs as a whole.
 
     A guaranteed job is included only if ``preempting_job`` is given and belongs to
     another customer, and once all tasks of its first steps have started. It may be
-    stopped for only one other job.
+    stopped for only one other job. With ``long_running``, long-running tasks that use
+    borrowed room are included, as far as they may be away.
     """
     for active, phase in state.iter_phases():
-        if active.ended or phase.spec.long_running:
+        if active.ended:
+            continue
+        if phase.spec.long_running and (active.firm or not long_running):
             continue
         if active.firm and not _may_yield(active, preempting_job):
             continue
@@ -47,6 +55,7 @@
             for task in phase.tasks
             if task.state in (TaskState.STARTING, TaskState.RUNNING)
         ]
+        running = list_stoppable(phase, running)
         if not running:
             continue
         lateness = _get_lateness_cost(state, active, phase)
--- a/src/larkhoist/jobs/checks.py
+++ b/src/larkhoist/jobs/checks.py
@@ -51,5 +51,7 @@
         value = getattr(step, field)
         if value < 0:
             yield f"{place}.{field}: {value}; give 0 or more"
-    if step.spread_limit < 0:
-        yield f"{place}.spread_limit: {step.spread_limit}; give 0 for no limit, or more"
+    for field in ("spread_limit", "max_away"):
+        value = getattr(step, field)
+        if value < 0:
+            yield f"{place}.{field}: {value}; give 0 for no limit, or more"
--- a/src/larkhoist/jobs/spec.py
+++ b/src/larkhoist/jobs/spec.py
@@ -12,8 +12,9 @@
 
     ``estimate_ms`` is the submitter's estimate of a task's duration and may be far off.
     ``spread_limit`` limits how many tasks of the step run on one worker at a time (0:
-    no limit). A step with ``fills`` reserves no processor time and uses what other
-    tasks leave idle.
+    no limit). ``max_away`` limits how many tasks of a long-running step may be away at
+    a time because the owner stopped them (0: no limit). A step with ``fills`` reserves
+    no processor time and uses what other tasks leave idle.
     """
 
     count: int
@@ -30,6 +31,7 @@
     spread_limit: int = 0
     long_running: bool = False
     fills: bool = False
+    max_away: int = 0
 
     @property
     def need(self) -> Resources:
