--- a/src/larkhoist/control/stream_follower.py
+++ b/src/larkhoist/control/stream_follower.py
@@ -170,7 +170,8 @@
         asked_s = asyncio.get_running_loop().time()
         match await self._log.read_newest(self.stream):
             case Success(newest):
-                self._sink.replace(newest.records)
+                if not self._replace(newest.records):
+                    return False
                 self._position = newest.end
                 self._record_read(True, asked_s)
                 return True
@@ -196,9 +197,33 @@
     def _take_page(self, page: StreamPage) -> None:
         for record in page.records:
             if self._position is not None and record.offset >= self._position:
-                self._sink.apply(record)
+                self._apply(record)
                 self._position = record.offset + 1
 
+    def _replace(self, records: Iterable[StoredRecord]) -> bool:
+        """Load the newest records; return False if the sink fails, to try again."""
+        try:
+            self._sink.replace(records)
+        except Exception as error:
+            self._log_failure("stream-not-loaded", reason=repr(error))
+            return False
+        return True
+
+    def _apply(self, record: StoredRecord) -> None:
+        """Apply a record; one on which the sink fails must not end the follower."""
+        try:
+            self._sink.apply(record)
+        except Exception as error:
+            self._log_failure(
+                "record-not-applied",
+                key=record.key,
+                offset=record.offset,
+                reason=repr(error),
+            )
+
+    def _log_failure(self, event: str, **fields) -> None:
+        log_event(_logger, event, logging.ERROR, stream=self.stream, **fields)
+
     def _record_read(self, answered: bool, asked_s: float, reason=None) -> None:
         if answered:
             self.synced_s = max(self.synced_s, asked_s)
--- a/src/larkhoist/control/tenure_keeper.py
+++ b/src/larkhoist/control/tenure_keeper.py
@@ -476,7 +476,7 @@
     for record in reversed(records):
         try:
             return msgspec.msgpack.decode(record.value, type=TenureRecord)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             log_event(
                 _logger,
                 "record-unreadable",
--- a/src/larkhoist/jobs/records.py
+++ b/src/larkhoist/jobs/records.py
@@ -386,7 +386,10 @@
 
 def decode_job_record(value: bytes) -> JobRecord:
     """Return the record in ``value``; raises ``msgspec.DecodeError``."""
-    return _decoder.decode(value)
+    try:
+        return _decoder.decode(value)
+    except RecursionError as error:
+        raise msgspec.DecodeError("values are nested too deeply") from error
 
 
 def _make_phase_key(phase: PhaseId) -> str:
