Don't send starts to a worker whose announcement was read since the last step

The owner applies the list of workers once in a step, and a step on many jobs now pauses between its parts. A start that waits for the log, its turn or a retry in the meantime is checked against the list as it was read last.

--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -535,10 +535,19 @@
 
     def _grant_start(self, order: StartTask, now_s: float) -> float | None:
         # The order may have become obsolete while it waited for its turn or a retry.
-        if not self.scheduler.is_wanted(order.task, order.attempt):
+        if not self._is_wanted(order):
             return None
         return self._grant_lease(order.worker, now_s)
 
+    def _is_wanted(self, order: StartTask) -> bool:
+        """Tell whether a start is still to be sent.
+
+        An announcement that was read since the last step counts already.
+        """
+        if self._roster.is_leaving(order.worker, order.started_ms):
+            return False
+        return self.scheduler.is_wanted(order.task, order.attempt)
+
     def _enqueue_message(self, message: Message) -> None:
         self._messages.append(message)
         self._wake.set()
@@ -627,8 +636,7 @@
 
     def _send_start(self, order: StartTask) -> None:
         session = self._sessions.get(order.worker)
-        wanted = self.scheduler.is_wanted(order.task, order.attempt)
-        if session is None or not wanted:
+        if session is None or not self._is_wanted(order):
             dropped = StartDropped(order.worker, order.task, order.attempt)
             self._enqueue_message(dropped)
             return
--- a/src/larkhoist/control/roster_keeper.py
+++ b/src/larkhoist/control/roster_keeper.py
@@ -46,6 +46,17 @@
         now_s = read_monotonic_s()
         self.workers[entry.name] = RosterEntry(entry, now_s)
 
+    def is_leaving(self, worker: str, started_ms: int) -> bool:
+        """Tell whether the entry of a worker says that it leaves.
+
+        ``started_ms`` is the start time of the incarnation, 0 if unknown. The entry of
+        an earlier one does not count.
+        """
+        found = self.workers.get(worker)
+        if found is None or not found.entry.leaving:
+            return False
+        return not (found.entry.started_ms and found.entry.started_ms < started_ms)
+
     def list_entries(self) -> list[ListedTaskWorker]:
         """Return the entries of all listed workers."""
         return [roster_entry.entry for roster_entry in self.workers.values()]
