Write the progress of a step in blocks where it exceeds a record

Cause: the progress of all tasks of a step is one record, which exceeded the log's limit. The owner gives up when the log refuses a record, and each later one builds the same record again.

Change: progress that may exceed a record is written in blocks, on any link. A checkpoint of more than 12,000 bytes, 16 of which no record could hold, is not kept: the task resumes from the former one.

--- a/src/larkhoist/fleet/reports.py
+++ b/src/larkhoist/fleet/reports.py
@@ -27,6 +27,8 @@
     "handle_worker_gone",
 ]
 
+MAX_CHECKPOINT_BYTES = 12_000
+
 
 def handle_report(
     state: FleetState,
@@ -224,7 +226,7 @@
         case EndKind.FAILED:
             _take_failed(state, worker, phase, task, ended, now_s, now_ms)
         case _:
-            _store_checkpoint(phase, task, ended.checkpoint)
+            _store_last_checkpoint(state, phase, task, ended.checkpoint)
             state.release(phase, task, EndListed(ended.kind), now_s)
 
 
@@ -290,7 +292,7 @@
     listed = sum(other.listed for other in state.workers.values())
     if state.quarantine.note_failure(worker.name, phase.id.job_id, listed, now_s):
         state.note("worker-quarantined", worker=worker.name)
-    _store_checkpoint(phase, task, ended.checkpoint)
+    _store_last_checkpoint(state, phase, task, ended.checkpoint)
     state.release(phase, task, EndListed(ended.kind), now_s)
     if phase.spec.long_running or task.failures < job.job.terms.max_attempts:
         return
@@ -312,7 +314,8 @@
     task.worker_started_ms = worker.incarnation.started_ms
     task.settled_s = min(task.settled_s, now_s)
     learn_from_percent(state, worker, phase, task, running.percent, now_s)
-    if running.checkpoint and running.checkpoint != task.checkpoint:
+    is_new = running.checkpoint not in ("", task.checkpoint)
+    if is_new and _fits_record(running.checkpoint):
         task.saved_s = now_s
         _store_checkpoint(phase, task, running.checkpoint)
 
@@ -344,8 +347,26 @@
     state.round.stops.append(StopTask(worker.name, running.task, running.attempt))
 
 
+def _fits_record(checkpoint: str) -> bool:
+    """Tell whether a checkpoint can be kept; else a task resumes from the former one.
+
+    The progress of 16 tasks must fit into one record of the log.
+    """
+    return len(checkpoint.encode()) <= MAX_CHECKPOINT_BYTES
+
+
+def _store_last_checkpoint(
+    state: FleetState, phase: Phase, task: Task, checkpoint: str
+) -> None:
+    """Store the checkpoint of an attempt that has ended; log one that can't be kept."""
+    if not _fits_record(checkpoint):
+        size = len(checkpoint.encode())
+        state.note("checkpoint-too-long", task=task.name, bytes=size)
+    _store_checkpoint(phase, task, checkpoint)
+
+
 def _store_checkpoint(phase: Phase, task: Task, checkpoint: str) -> None:
-    if not checkpoint:
+    if not checkpoint or not _fits_record(checkpoint):
         return
     # A checkpoint is valid for the whole gang, and all members must use the same one.
     for member in phase.tasks if phase.spec.gang else [task]:
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -77,20 +77,29 @@
 class _ChangedPhase:
     """A phase whose progress must be appended, and the numbers of its changed blocks.
 
-    ``blocks`` is empty if the phase is written as a whole.
+    ``blocks`` is empty if the phase is too narrow for blocks.
     """
 
     phase: Phase
     blocks: set[int] = field(default_factory=set)
 
+    def is_in_blocks(self, *, prefers_blocks: bool) -> bool:
+        """Tell whether the phase is written in blocks.
+
+        It is in any case if it can't be written as a whole.
+        """
+        return bool(self.blocks) and (prefers_blocks or self.phase.exceeds_record)
+
     def make_records(
-        self, now_s: float, now_ms: int
+        self, now_s: float, now_ms: int, *, prefers_blocks: bool
     ) -> list[PhaseProgress | BlockProgress]:
         """Return the records to append; both times are the current time."""
-        if not self.blocks:
-            return [self.phase.make_progress(now_s, now_ms)]
+        phase = self.phase
+        if not self.is_in_blocks(prefers_blocks=prefers_blocks):
+            return [phase.make_progress(now_s, now_ms)]
+        phase.blocks |= self.blocks
         return [
-            self.phase.make_block_progress(number, now_s, now_ms)
+            phase.make_block_progress(number, now_s, now_ms)
             for number in sorted(self.blocks)
         ]
 
@@ -191,6 +200,11 @@
                 del active.phases[(run, phase.id.step)]
 
     def _forget_tasks(self, phase: Phase) -> None:
+        changed = self._dirty_phases.get(id(phase))
+        prefers_blocks = self.policy.progress_blocks
+        if changed and changed.is_in_blocks(prefers_blocks=prefers_blocks):
+            # They are written with this round, and must be removed after it.
+            phase.blocks |= changed.blocks
         for task in phase.tasks:
             self._tasks.pop(task.name, None)
             self.suspects.discard(task.name)
@@ -570,7 +584,9 @@
         progress = [
             record
             for changed in self._dirty_phases.values()
-            for record in changed.make_records(now_s, now_ms)
+            for record in changed.make_records(
+                now_s, now_ms, prefers_blocks=self.policy.progress_blocks
+            )
         ]
         taken.records = [*progress, *taken.records]
         self._dirty_phases = {}
@@ -581,9 +597,8 @@
     def _add_changed(self, phase: Phase, tasks: Iterable[Task]) -> None:
         """Note which blocks of a phase to append if it is written in blocks."""
         changed = self._dirty_phases.setdefault(id(phase), _ChangedPhase(phase))
-        if self.policy.progress_blocks and may_use_blocks(len(phase.tasks)):
+        if may_use_blocks(len(phase.tasks)):
             changed.blocks |= {get_block_number(task.index) for task in tasks}
-            phase.blocks |= changed.blocks
 
     def _note_attempt_over(self, task: Task, proof: Proof, now_s: float) -> None:
         """Log the proof that an attempt is over; a listed end is logged elsewhere."""
--- a/src/larkhoist/fleet/task.py
+++ b/src/larkhoist/fleet/task.py
@@ -36,6 +36,10 @@
 
 CORES_PER_ACCELERATOR = 8
 """How many cores one accelerator counts for in the cost of work, by their prices."""
+TASK_BYTES = 80
+"""About what one task takes in a record without its checkpoint."""
+MAX_WHOLE_BYTES = 200_000
+"""The log takes records of 256 KB, of which unsettled losses may use 30 KB."""
 MAX_RECORDED_LOSSES = 500
 """How many unsettled losses one record holds, some 60 bytes each, so that the progress
 of the widest step stays below the log's limit. Others count as crashes for the next
@@ -266,6 +270,12 @@
             _make_recorded_losses(tasks, now_s, now_ms),
         )
 
+    @property
+    def exceeds_record(self) -> bool:
+        """Tell whether the progress of all tasks may be too long for one record."""
+        saved = sum(len(task.checkpoint.encode()) for task in self.tasks)
+        return saved + TASK_BYTES * len(self.tasks) > MAX_WHOLE_BYTES
+
     def list_parts(self) -> list[ProgressPart]:
         """Return the records of its progress that may be on the log."""
         return [self.id, *(BlockId(self.id, number) for number in sorted(self.blocks))]
