--- a/src/larkhoist/control/fleet_owner.py
+++ b/src/larkhoist/control/fleet_owner.py
@@ -364,7 +364,7 @@
         scheduler = create_fleet_scheduler(self._policy, now_s)
         scheduler.update_workers(self._roster.list_entries(), now_s)
         left_over = self._registry.replace_progress(progress)
-        await _run_in_parts(scheduler.load(self._registry, now_s, now_ms))
+        await _run_in_parts(scheduler.load_jobs_in_parts(self._registry, now_s, now_ms))
         # The registry may have changed between the parts.
         self._must_add_open_jobs = True
         self.scheduler = scheduler
@@ -434,7 +434,7 @@
         if self._update_decisions_paused(now_s):
             return
         self._expire_jobs(now_s, now_ms)
-        yield from scheduler.advance(now_s, now_ms)
+        yield from scheduler.decide_in_parts(now_s, now_ms)
         self._carry_out(scheduler.take_round(now_s, now_ms))
         self._update_sessions()
 
--- a/src/larkhoist/fleet/availability.py
+++ b/src/larkhoist/fleet/availability.py
@@ -1,4 +1,4 @@
-"""Limit how many tasks of a long-running step are away by orders of the owner."""
+"""Limit how many tasks of a long-running step the owner may have stopped at once."""
 
 from larkhoist.fleet.task import Phase, Task, TaskState
 
--- a/src/larkhoist/fleet/ranking.py
+++ b/src/larkhoist/fleet/ranking.py
@@ -1,6 +1,5 @@
 """Rank the phases that could start by urgency and deadline."""
 
-from collections.abc import Callable
 from enum import IntEnum
 
 import msgspec
@@ -63,7 +62,7 @@
         key = (job.job.job_id, run)
         found = self._whole_s.get(key)
         if found is None:
-            found = self._whole_s[key] = self._compute_s(job, run, is_over=_is_never)
+            found = self._whole_s[key] = self._compute_s(job, run, only_left=False)
         return found
 
     def get_remaining_s(self, job: ActiveJob, run: int) -> float:
@@ -71,18 +70,16 @@
         key = (job.job.job_id, run)
         found = self._remaining_s.get(key)
         if found is None:
-            found = self._compute_s(job, run, is_over=_is_done)
+            found = self._compute_s(job, run, only_left=True)
             self._remaining_s[key] = found
         return found
 
-    def _compute_s(
-        self, job: ActiveJob, run: int, is_over: Callable[[Phase], bool]
-    ) -> float:
+    def _compute_s(self, job: ActiveJob, run: int, *, only_left: bool) -> float:
         ends_s: list[float] = []
         for phase in job.get_phases(run):
             begin_s = max((ends_s[step] for step in phase.spec.depends_on), default=0.0)
             own_s = 0.0
-            if not is_over(phase):
+            if not (only_left and phase.is_done):
                 own_s = self._runtimes.predict(job.job.queue, phase.spec.estimate_ms)
             ends_s.append(begin_s + own_s)
         return max(ends_s, default=0.0)
@@ -112,11 +109,3 @@
 def get_objective_s(terms: JobTerms, critical_path_s: float) -> float:
     """Return the latency objective of a run with this critical path, in seconds."""
     return terms.stretch * critical_path_s + terms.target_ms / 1000
-
-
-def _is_never(phase: Phase) -> bool:
-    return False
-
-
-def _is_done(phase: Phase) -> bool:
-    return phase.is_done
--- a/src/larkhoist/fleet/scheduler.py
+++ b/src/larkhoist/fleet/scheduler.py
@@ -133,13 +133,15 @@
 
         Also apply the leases and the speeds that a former owner recorded.
         """
-        for _ in self.load(registry, now_s, now_ms):
+        for _ in self.load_jobs_in_parts(registry, now_s, now_ms):
             pass
 
-    def load(self, registry: JobRegistry, now_s: float, now_ms: int) -> Iterator[None]:
-        """Do the same in parts of bounded length, and yield between them.
+    def load_jobs_in_parts(
+        self, registry: JobRegistry, now_s: float, now_ms: int
+    ) -> Iterator[None]:
+        """Load the jobs as ``load_jobs`` does, and yield between bounded parts.
 
-        Jobs that the registry gets meanwhile are left out.
+        Jobs that are added to the registry meanwhile are left out.
         """
         added = 0
         for entry in list(registry.entries.values()):
@@ -308,15 +310,15 @@
 
     def decide(self, now_s: float, now_ms: int) -> Round:
         """Advance the state; return the records to append and the calls to send."""
-        for _ in self.advance(now_s, now_ms):
+        for _ in self.decide_in_parts(now_s, now_ms):
             pass
         return self.take_round(now_s, now_ms)
 
-    def advance(self, now_s: float, now_ms: int) -> Iterator[None]:
-        """Advance the state in parts of bounded length, and yield between them.
+    def decide_in_parts(self, now_s: float, now_ms: int) -> Iterator[None]:
+        """Advance the state as ``decide`` does, and yield between bounded parts.
 
-        Until the last part, only leases may be granted; other input has to wait.
-        ``take_round`` then returns the effects.
+        Until the last part is over, only leases may be granted; other input has to
+        wait. Then ``take_round`` returns the effects.
         """
         state = self.state
         self._check_leases(now_s)
--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -68,6 +68,7 @@
 """How many tasks of one job's open runs are held, unless one run alone has more. A task
 takes some 1.6 kB."""
 MIN_FOLDED_RUNS = 64
+"""How many runs are replaced by one record at a time."""
 FOLD_AFTER_S = 10.0
 """How long the tasks of a run that is done are held. Until then, reports that were sent
 before its end may name them."""
--- a/tests/fleet/test_decision_cost.py
+++ b/tests/fleet/test_decision_cost.py
@@ -104,7 +104,7 @@
     for number in range(jobs):
         job = make_job(number, ONE_CORE)
         scheduler.add_job(StagedJobEntry(job), NOW_S, NOW_MS)
-    parts = sum(1 for _ in scheduler.advance(NOW_S, NOW_MS))
+    parts = sum(1 for _ in scheduler.decide_in_parts(NOW_S, NOW_MS))
     assert parts >= jobs // 100
     round_ = scheduler.take_round(NOW_S, NOW_MS)
     assert len(round_.starts) == min(jobs, 8 * 16)
@@ -117,7 +117,7 @@
         job = make_job(number, ONE_CORE)
         registry.entries[job.job_id] = StagedJobEntry(job)
     scheduler = make_scheduler()
-    assert sum(1 for _ in scheduler.load(registry, NOW_S, NOW_MS)) >= 5
+    assert sum(1 for _ in scheduler.load_jobs_in_parts(registry, NOW_S, NOW_MS)) >= 5
     assert len(scheduler.state.jobs) == 3000
 
 
