--- a/src/larkhoist/fleet/room_maker.py
+++ b/src/larkhoist/fleet/room_maker.py
@@ -47,7 +47,7 @@
             wanted = [groups.whole]
             room = victims.find_room(wanted, phase.spec, count, taken, preemptor)
             if room is None:
-                # Last, since a long-running task is at work for as long as it runs.
+                # Tried last, since each such stop interrupts a service.
                 victims = VictimIndex(self._state, self._now_s, long_running=True)
                 room = victims.find_room(wanted, phase.spec, count, taken, preemptor)
         if room is None and self._may_stop_guaranteed(active, phase):
