--- a/src/larkhoist/fleet/state.py
+++ b/src/larkhoist/fleet/state.py
@@ -236,11 +236,10 @@
         if active.ended:
             return
         active.ended = True
-        job_id = active.job.job_id
         job = active.job
-        outcome = JobOutcome(job_id, code, now_ms, job.customer, job.queue)
+        outcome = JobOutcome(job.job_id, code, now_ms, job.customer, job.queue)
         self.round.records.append(outcome)
-        self.note("job-ended", job=job_id, result=code.name.lower())
+        self.note("job-ended", job=job.job_id, result=code.name.lower())
         for phase in active.phases.values():
             self.release_plan(phase)
             for task in phase.tasks:
